Add the placement core of a group

Cause: GroupPlacement had no implementation, so an owner could not start tasks.

Change: FairSharePlacement with the parts in placement.internal: ledger of charges, worker index, queues per class, team and size, passes for urgent, service, all-at-once and batch jobs, reservations with backfilling, give-back of borrowed resources, quarantine, retry budget, paced re-placement, admission and explanations. Charges never drop below the declared size; learnt usage only raises them.

Ruled out: one queue entry per task, because one decision would then scan the backlog; charging less than declared for families that use less, because the design bounds the sum of declared sizes.

--- /dev/null
+++ b/library/src/main/java/io/radishspindle/placement/internal/Context.java
@@ -0,0 +1,32 @@
+package io.radishspindle.placement.internal;
+
+import io.radishspindle.placement.PlacementAction;
+import io.radishspindle.placement.PlacementPolicy;
+import java.util.ArrayList;
+import java.util.List;
+
+/** What all parts of the core share: time, policy, authority and the actions decided so far. Not thread-safe. */
+final class Context {
+    long nowMs;
+    PlacementPolicy policy;
+    boolean mayStart;
+    long epoch;
+    private List<PlacementAction> actions = new ArrayList<>();
+
+    Context(PlacementPolicy policy) {
+        this.policy = policy;
+    }
+
+    void emit(PlacementAction action) {
+        actions.add(action);
+    }
+
+    List<PlacementAction> takeActions() {
+        if (actions.isEmpty()) {
+            return List.of();
+        }
+        List<PlacementAction> taken = actions;
+        actions = new ArrayList<>();
+        return taken;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/placement/internal/FailurePolicy.java
@@ -0,0 +1,109 @@
+package io.radishspindle.placement.internal;
+
+import io.radishspindle.model.JobClass;
+import io.radishspindle.model.JobStatus;
+import java.util.ArrayList;
+
+/** Decides what follows a failed attempt: back-off, end of the task, end of the job. Not thread-safe. */
+final class FailurePolicy {
+    private static final long FIRST_BACK_OFF_MS = 1_000;
+    private static final long FIRST_URGENT_BACK_OFF_MS = 100;
+    private static final long MAX_BACK_OFF_MS = 300_000;
+    /** A replica that ran this long is considered healthy again. */
+    private static final long STABLE_MS = 60_000;
+    /** A refused start means that the worker's view differs; it is asked again only after its next report. */
+    private static final long REFUSED_BACK_OFF_MS = 1_000;
+    /** Tasks of a job up to which each task may use all its attempts. */
+    private static final int FULL_BUDGET_TASKS = 4;
+
+    private final Context context;
+    private final Jobs jobs;
+    private final Queues queues;
+    private final Lifecycle lifecycle;
+
+    FailurePolicy(Parts parts) {
+        this.context = parts.context;
+        this.jobs = parts.jobs;
+        this.queues = parts.queues;
+        this.lifecycle = parts.lifecycle;
+    }
+
+    /** Handles a failed attempt whose charge is released. Returns whether the task ended for good. */
+    boolean failed(JobState job, int index, Attempt attempt, String detail) {
+        String what = "attempt " + attempt.id + " failed on worker " + attempt.worker.id + ": " + detail;
+        job.lastProblem = what;
+        job.failedOnWorker = attempt.worker.id;
+        if (job.spec.jobClass() == JobClass.SERVICE) {
+            restart(job, index, attempt, what);
+            return false;
+        }
+        Family family = lifecycle.familyOf(job);
+        family.noteFailure(job.spec.id(), attempt.worker.id);
+        job.failures[index]++;
+        job.totalFailures++;
+        boolean exhausted = isExhausted(job, index);
+        if (exhausted) {
+            fail(job, index, what);
+        } else {
+            job.retriesUsed++;
+            lifecycle.requeue(job, index, what, context.nowMs + backOffMs(job, job.failures[index]));
+        }
+        if (family.failsAlways()) {
+            setAside(family);
+        }
+        return exhausted;
+    }
+
+    private void fail(JobState job, int index, String what) {
+        if (job.isGang()) {
+            queues.move(job, index, TaskPhase.FAILED);
+            lifecycle.abandon(job, JobStatus.Phase.FAILED, what);
+        } else {
+            lifecycle.finishTask(job, index, TaskPhase.FAILED);
+        }
+    }
+
+    /**
+     * Whether a failed task is not tried again: it has used its attempts, or its job has used its retry budget. Each
+     * task of a small job may use all its attempts; a large job may retry as often as a quarter of its tasks could, so
+     * that a faulty job of many tasks costs little more than one attempt per task.
+     */
+    private static boolean isExhausted(JobState job, int index) {
+        int maxAttempts = job.spec.maxAttempts();
+        if (job.isGang()) {
+            return job.totalFailures >= maxAttempts;
+        }
+        int tasks = job.spec.tasks();
+        long share = tasks <= FULL_BUDGET_TASKS ? tasks : Math.max(FULL_BUDGET_TASKS, tasks / 4);
+        return job.failures[index] >= maxAttempts || job.retriesUsed >= (maxAttempts - 1) * share;
+    }
+
+    private void setAside(Family family) {
+        for (JobState job : new ArrayList<>(jobs.active())) {
+            boolean member = job.spec.family().equals(family.name) && job.spec.jobClass() != JobClass.SERVICE;
+            if (member && job.totalFailures > 0 && job.count(TaskPhase.SUCCEEDED) == 0) {
+                lifecycle.abandon(job, JobStatus.Phase.SET_ASIDE, family.failureSummary());
+            }
+        }
+    }
+
+    void serviceExited(JobState job, int index, Attempt attempt) {
+        restart(job, index, attempt, "replica " + index + " exited on worker " + attempt.worker.id);
+    }
+
+    private void restart(JobState job, int index, Attempt attempt, String what) {
+        boolean stable = context.nowMs - attempt.startedAtMs >= STABLE_MS;
+        job.failures[index] = stable ? 1 : job.failures[index] + 1;
+        job.lastProblem = what;
+        lifecycle.requeue(job, index, what, context.nowMs + backOffMs(job, job.failures[index]));
+    }
+
+    private static long backOffMs(JobState job, int failures) {
+        long first = job.spec.jobClass() == JobClass.URGENT ? FIRST_URGENT_BACK_OFF_MS : FIRST_BACK_OFF_MS;
+        return Math.min(MAX_BACK_OFF_MS, first << Math.min(failures - 1, 20));
+    }
+
+    long refusedUntil() {
+        return context.nowMs + REFUSED_BACK_OFF_MS;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/placement/internal/Families.java
@@ -0,0 +1,20 @@
+package io.radishspindle.placement.internal;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** The families seen lately, bounded; the least recently used one is forgotten first. Not thread-safe. */
+final class Families {
+    private static final int MAX_FAMILIES = 10_000;
+
+    private final Map<String, Family> byName = new LinkedHashMap<>(16, 0.75f, true) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Family> eldest) {
+            return size() > MAX_FAMILIES;
+        }
+    };
+
+    Family of(JobState job) {
+        return byName.computeIfAbsent(job.spec.family(), Family::new);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/placement/internal/Family.java
@@ -0,0 +1,99 @@
+package io.radishspindle.placement.internal;
+
+import io.radishspindle.model.JobSpec;
+import io.radishspindle.model.Resources;
+import java.util.ArrayDeque;
+import java.util.Arrays;
+import java.util.Deque;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/** What is known of a family of jobs: usage, run times, failures. Not thread-safe. */
+final class Family {
+    /** Samples kept of usage and of run times; enough to see a high value, few enough to follow a change. */
+    private static final int SAMPLES = 16;
+
+    private static final int MIN_RUN_SAMPLES = 3;
+    /** A family fails always if this many attempts in a row failed, in several jobs and on several workers. */
+    static final int SET_ASIDE_ATTEMPTS = 8;
+
+    private static final int SET_ASIDE_JOBS = 2;
+    private static final int SET_ASIDE_WORKERS = 2;
+
+    final String name;
+    private final Deque<Resources> peaks = new ArrayDeque<>();
+    private final Deque<Long> runTimes = new ArrayDeque<>();
+    private final Set<String> failedJobs = new LinkedHashSet<>();
+    private final Set<String> failedWorkers = new LinkedHashSet<>();
+    private Resources learned = Resources.NONE;
+    private long learnedRunMs = -1;
+    private int failedInRow;
+
+    Family(String name) {
+        this.name = name;
+    }
+
+    void notePeak(Resources used) {
+        peaks.addLast(used);
+        if (peaks.size() > SAMPLES) {
+            peaks.removeFirst();
+        }
+        learned = peaks.stream().reduce(Resources.NONE, Family::max);
+    }
+
+    static Resources max(Resources a, Resources b) {
+        return new Resources(
+                Math.max(a.milliCores(), b.milliCores()),
+                Math.max(a.memoryMib(), b.memoryMib()),
+                Math.max(a.accelerators(), b.accelerators()));
+    }
+
+    /** The declared size, raised to the highest usage seen lately. Never less than declared. */
+    Resources reservation(Resources declared) {
+        return max(declared, new Resources(learned.milliCores(), learned.memoryMib(), 0));
+    }
+
+    void noteSuccess(long ranMs) {
+        runTimes.addLast(ranMs);
+        if (runTimes.size() > SAMPLES) {
+            runTimes.removeFirst();
+        }
+        long[] sorted = runTimes.stream().mapToLong(Long::longValue).sorted().toArray();
+        learnedRunMs = sorted.length < MIN_RUN_SAMPLES ? -1 : sorted[sorted.length * 3 / 4];
+        failedInRow = 0;
+        failedJobs.clear();
+        failedWorkers.clear();
+    }
+
+    /** Expected run time: the upper quartile of the last ones, or the declared one while little is known. */
+    long expectedRunMs(JobSpec spec) {
+        return learnedRunMs >= 0 ? learnedRunMs : Math.max(1, spec.expectedRunMs());
+    }
+
+    void noteFailure(String jobId, String workerId) {
+        failedInRow++;
+        if (failedJobs.size() < SAMPLES) {
+            failedJobs.add(jobId);
+        }
+        if (failedWorkers.size() < SAMPLES) {
+            failedWorkers.add(workerId);
+        }
+    }
+
+    /** Takes back failures that were the fault of a worker. */
+    void forgiveFailures(int count, String workerId) {
+        failedInRow = Math.max(0, failedInRow - count);
+        failedWorkers.remove(workerId);
+    }
+
+    boolean failsAlways() {
+        return failedInRow >= SET_ASIDE_ATTEMPTS
+                && failedJobs.size() >= SET_ASIDE_JOBS
+                && failedWorkers.size() >= SET_ASIDE_WORKERS;
+    }
+
+    String failureSummary() {
+        return "the last " + failedInRow + " attempts of family " + name + " failed, in " + failedJobs.size()
+                + " jobs on " + failedWorkers.size() + " workers " + Arrays.toString(failedWorkers.toArray());
+    }
+}
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/placement/internal/Ledger.java
@@ -0,0 +1,126 @@
+package io.radishspindle.placement.internal;
+
+import io.radishspindle.model.Resources;
+import io.radishspindle.model.TaskAttempt;
+import io.radishspindle.model.TaskId;
+import io.radishspindle.placement.PlacementAction;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The only place where resources are charged and released. Not thread-safe.
+ *
+ * <p>Invariants, checked on each change: the charges of a worker do not exceed its capacity through a start; a task has
+ * at most one live attempt; the running count equals the number of charged attempts that belong to a job.
+ */
+final class Ledger {
+    private final Context context;
+    private final WorkerTable workers;
+    private final Queues queues;
+    private final Map<TaskId, Attempt> orphans = new HashMap<>();
+    /** Sizes that fit on no usable worker; a size leaves the set when a worker has room for it. */
+    private final Set<Resources> blocked = new HashSet<>();
+
+    private int running;
+    private long freedVersion;
+
+    Ledger(Context context, WorkerTable workers, Queues queues) {
+        this.context = context;
+        this.workers = workers;
+        this.queues = queues;
+    }
+
+    int running() {
+        return running;
+    }
+
+    /** Grows when a worker gains free resources. */
+    long freedVersion() {
+        return freedVersion;
+    }
+
+    boolean isBlocked(Resources demand) {
+        return blocked.contains(demand);
+    }
+
+    void block(Resources demand) {
+        blocked.add(demand);
+    }
+
+    Attempt start(JobState job, int index, WorkerState worker) {
+        if (!worker.isUsable() || !context.mayStart) {
+            throw new IllegalStateException("start on worker " + worker.id + " without the right to");
+        }
+        int number = job.nextAttemptNumber(index, context.epoch);
+        TaskAttempt id = new TaskAttempt(job.task(index), context.epoch, number);
+        Attempt attempt = new Attempt(id, job, worker, job.demand, context.nowMs);
+        charge(attempt);
+        worker.checkNotOverfilled(id);
+        job.noteStart(index, context.nowMs);
+        context.emit(new PlacementAction.StartTask(id, worker.id, job.demand));
+        return attempt;
+    }
+
+    void charge(Attempt attempt) {
+        attempt.worker.charge(attempt);
+        workers.reindex(attempt.worker);
+        JobState job = attempt.job;
+        if (job == null) {
+            orphans.put(attempt.id.task(), attempt);
+            return;
+        }
+        boolean waited = Queues.isWaiting(job.phase(attempt.id.task().index()));
+        job.addLive(attempt);
+        queues.afterMove(job, waited, false);
+        queues.charge(job, attempt.charged);
+        running++;
+    }
+
+    /** Ends the charge of an attempt; the caller moves the task to its next phase at once. */
+    void release(Attempt attempt) {
+        attempt.worker.release(attempt);
+        workers.reindex(attempt.worker);
+        freed(attempt.worker);
+        JobState job = attempt.job;
+        if (job == null) {
+            orphans.remove(attempt.id.task(), attempt);
+            return;
+        }
+        job.removeLive(attempt);
+        queues.release(job, attempt.charged);
+        running--;
+    }
+
+    /** Raises the charge of a running attempt; the caller has checked that the worker has room. */
+    void raise(Attempt attempt, Resources to) {
+        WorkerState worker = attempt.worker;
+        Resources more = to.minus(attempt.charged);
+        worker.free = worker.free.minus(more);
+        worker.checkNotOverfilled(attempt.id);
+        if (attempt.isStopping()) {
+            worker.stopping = worker.stopping.plus(more);
+        }
+        attempt.charged = to;
+        workers.reindex(worker);
+        if (attempt.job != null) {
+            queues.charge(attempt.job, more);
+        }
+    }
+
+    /** Must follow every gain of free resources on a worker. */
+    void freed(WorkerState worker) {
+        freedVersion++;
+        queues.changed = true;
+        if (worker.isUsable()) {
+            blocked.removeIf(demand -> demand.fitsIn(worker.free));
+        }
+    }
+
+    @Nullable
+    Attempt orphan(TaskId task) {
+        return orphans.get(task);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/placement/internal/Lifecycle.java
@@ -0,0 +1,217 @@
+package io.radishspindle.placement.internal;
+
+import io.radishspindle.model.JobClass;
+import io.radishspindle.model.JobSpec;
+import io.radishspindle.model.JobStatus;
+import io.radishspindle.placement.PlacementAction;
+import io.radishspindle.placement.PlacementEvent.JobRecovered;
+
+/** Moves jobs and tasks between their phases. Not thread-safe. */
+final class Lifecycle {
+    private final Context context;
+    private final Jobs jobs;
+    private final Queues queues;
+    private final Ledger ledger;
+    private final Families families;
+    private final Sizing sizing;
+    private final Stopper stopper;
+    private final Timers timers;
+    private final Pacer pacer = new Pacer();
+    private final Explainer explainer;
+
+    Lifecycle(Parts parts) {
+        this.context = parts.context;
+        this.jobs = parts.jobs;
+        this.queues = parts.queues;
+        this.ledger = parts.ledger;
+        this.families = parts.families;
+        this.sizing = parts.sizing;
+        this.stopper = parts.stopper;
+        this.timers = parts.timers;
+        this.explainer = parts.explainer;
+    }
+
+    void accept(JobSpec spec) {
+        if (jobs.isKnown(spec.id())) {
+            return;
+        }
+        JobState job = register(spec);
+        for (int i = 0; i < spec.tasks(); i++) {
+            ready(job, i);
+        }
+    }
+
+    private JobState register(JobSpec spec) {
+        JobState job = new JobState(spec, jobs.nextSequence(), context.nowMs);
+        jobs.add(job);
+        queues.noteJob(job);
+        return job;
+    }
+
+    void recover(JobRecovered event) {
+        JobSpec spec = event.job();
+        if (jobs.isKnown(spec.id())) {
+            return;
+        }
+        JobState job = register(spec);
+        job.totalFailures = event.failedAttempts();
+        job.retriesUsed = event.failedAttempts();
+        if (spec.tasks() == 1) {
+            job.failures[0] = event.failedAttempts();
+        }
+        for (int i = 0; i < spec.tasks(); i++) {
+            queues.move(job, i, event.completed().contains(i) ? TaskPhase.SUCCEEDED : TaskPhase.OPEN);
+        }
+        for (int i = 0; i < spec.tasks(); i++) {
+            adoptOrphan(job, i);
+        }
+        if (!endIfOver(job)) {
+            closeOpenTasksAt(job, event.openUntilMs());
+        }
+    }
+
+    private void adoptOrphan(JobState job, int index) {
+        Attempt orphan = ledger.orphan(job.task(index));
+        if (orphan != null && job.phase(index) == TaskPhase.OPEN && !orphan.isStopping()) {
+            ledger.release(orphan);
+            adopt(job, orphan);
+        }
+    }
+
+    /** Makes an attempt that a worker reported the live attempt of its task. */
+    void adopt(JobState job, Attempt reported) {
+        Attempt attempt = new Attempt(reported.id, job, reported.worker, reported.charged, reported.startedAtMs);
+        ledger.charge(attempt);
+        job.noteAttempt(reported.id.task().index(), reported.id.epoch(), reported.id.number());
+        job.noteStart(reported.id.task().index(), context.nowMs);
+        if (job.isEnding()) {
+            stopper.stop(attempt, job.cancelled ? StopReason.CANCELLED : StopReason.JOB_ENDED);
+        } else if (job.isGang() && hasWaiting(job)) {
+            stopper.stopAll(job, StopReason.GANG_BROKEN);
+        }
+    }
+
+    private static boolean hasWaiting(JobState job) {
+        return job.count(TaskPhase.READY) + job.count(TaskPhase.DELAYED) > 0;
+    }
+
+    private void closeOpenTasksAt(JobState job, long atMs) {
+        if (atMs > context.nowMs) {
+            timers.at(atMs, () -> closeOpenTasks(job));
+        } else {
+            closeOpenTasks(job);
+        }
+    }
+
+    private void closeOpenTasks(JobState job) {
+        for (int i = 0; i < job.spec.tasks(); i++) {
+            if (job.phase(i) == TaskPhase.OPEN) {
+                settle(job, i);
+            }
+        }
+        endIfOver(job);
+    }
+
+    private void settle(JobState job, int index) {
+        if (job.isEnding()) {
+            queues.move(job, index, TaskPhase.CANCELLED);
+        } else {
+            ready(job, index);
+        }
+    }
+
+    /** Puts a task in the queue at once. */
+    void ready(JobState job, int index) {
+        if (job.bucket == null) {
+            job.demand = sizing.reservation(job);
+        }
+        queues.move(job, index, TaskPhase.READY);
+        if (job.isGang() && !job.live.isEmpty()) {
+            stopper.stopAll(job, StopReason.GANG_BROKEN);
+        }
+    }
+
+    /** Puts a task whose attempt is over in the queue again, at {@code atMs} or at once. */
+    void requeue(JobState job, int index, String reason, long atMs) {
+        if (job.isEnding()) {
+            queues.move(job, index, TaskPhase.CANCELLED);
+            endIfOver(job);
+            return;
+        }
+        context.emit(new PlacementAction.TaskRequeued(job.task(index), reason));
+        if (atMs <= context.nowMs) {
+            ready(job, index);
+            return;
+        }
+        queues.move(job, index, TaskPhase.DELAYED);
+        if (job.isGang() && !job.live.isEmpty()) {
+            stopper.stopAll(job, StopReason.GANG_BROKEN);
+        }
+        timers.at(atMs, () -> {
+            if (job.phase(index) == TaskPhase.DELAYED) {
+                ready(job, index);
+            }
+        });
+    }
+
+    /** Requeues a task after the loss of its worker, at a limited rate unless it is urgent. */
+    void requeueAfterLoss(JobState job, int index, String reason) {
+        boolean urgent = job.spec.jobClass() == JobClass.URGENT;
+        requeue(job, index, reason, urgent || job.isEnding() ? context.nowMs : pacer.nextSlot(context.nowMs));
+    }
+
+    void finishTask(JobState job, int index, TaskPhase phase) {
+        queues.move(job, index, phase);
+        endIfOver(job);
+    }
+
+    void cancel(String jobId) {
+        JobState job = jobs.get(jobId);
+        if (job == null || job.cancelled) {
+            return;
+        }
+        job.cancelled = true;
+        dropWaiting(job);
+        stopper.stopAll(job, StopReason.CANCELLED);
+        endIfOver(job);
+    }
+
+    /** Ends a job that can't succeed any more: nothing of it starts again and what runs is stopped. */
+    void abandon(JobState job, JobStatus.Phase verdict, String problem) {
+        if (job.isEnding()) {
+            return;
+        }
+        job.verdict = verdict;
+        job.lastProblem = problem;
+        dropWaiting(job);
+        stopper.stopAll(job, StopReason.JOB_ENDED);
+        endIfOver(job);
+    }
+
+    private void dropWaiting(JobState job) {
+        for (int i = 0; i < job.spec.tasks(); i++) {
+            if (Queues.isWaiting(job.phase(i))) {
+                queues.move(job, i, TaskPhase.CANCELLED);
+            }
+        }
+    }
+
+    /** Whether the job is over; if so its end is recorded. */
+    boolean endIfOver(JobState job) {
+        if (!job.isOver()) {
+            return false;
+        }
+        if (jobs.get(job.spec.id()) != job) {
+            return true;
+        }
+        queues.noteRemoved(job);
+        JobStatus status = explainer.finalStatus(job);
+        jobs.end(job, status);
+        context.emit(new PlacementAction.RecordJobEnd(job.spec.id(), status.phase(), status.explanation()));
+        return true;
+    }
+
+    Family familyOf(JobState job) {
+        return families.of(job);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/placement/internal/Overuse.java
@@ -0,0 +1,56 @@
+package io.radishspindle.placement.internal;
+
+import io.radishspindle.model.JobClass;
+import io.radishspindle.model.Resources;
+import io.radishspindle.placement.PlacementAction;
+import io.radishspindle.platform.WorkerClient.Command;
+
+/**
+ * Reacts to attempts that use more than is charged for them: the charge is raised while the worker has room; without
+ * room, batch tasks are throttled (processors) or stopped (memory). Not thread-safe.
+ */
+final class Overuse {
+    private final Context context;
+    private final Ledger ledger;
+    private final Stopper stopper;
+
+    Overuse(Parts parts) {
+        this.context = parts.context;
+        this.ledger = parts.ledger;
+        this.stopper = parts.stopper;
+    }
+
+    void note(Attempt attempt, Resources used) {
+        Resources needed = Family.max(attempt.charged, new Resources(used.milliCores(), used.memoryMib(), 0));
+        if (needed.equals(attempt.charged)) {
+            return;
+        }
+        Resources free = attempt.worker.free;
+        Resources more = needed.minus(attempt.charged);
+        Resources granted = new Resources(
+                Math.max(0, Math.min(more.milliCores(), free.milliCores())),
+                Math.max(0, Math.min(more.memoryMib(), free.memoryMib())),
+                0);
+        if (!granted.equals(Resources.NONE)) {
+            ledger.raise(attempt, attempt.charged.plus(granted));
+        }
+        if (!granted.equals(more)) {
+            limit(attempt, more.minus(granted));
+        }
+    }
+
+    private void limit(Attempt attempt, Resources missing) {
+        JobState job = attempt.job;
+        boolean batch = job != null && job.spec.jobClass() == JobClass.BATCH;
+        if (!batch || attempt.isStopping()) {
+            return;
+        }
+        if (missing.memoryMib() > 0) {
+            stopper.stop(attempt, StopReason.OVERUSE);
+        } else if (!attempt.throttled && context.mayStart) {
+            attempt.throttled = true;
+            String reason = "uses " + missing.milliCores() + " milli-cores more than its worker has left";
+            context.emit(new PlacementAction.CommandTask(attempt.id, attempt.worker.id, Command.THROTTLE, reason));
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/placement/internal/Parts.java
@@ -0,0 +1,31 @@
+package io.radishspindle.placement.internal;
+
+import io.radishspindle.placement.PlacementPolicy;
+
+/** Builds the parts of one core and connects them. Not thread-safe. */
+final class Parts {
+    final Context context;
+    final Timers timers = new Timers();
+    final WorkerTable workers = new WorkerTable();
+    final Queues queues = new Queues();
+    final Jobs jobs = new Jobs();
+    final Families families = new Families();
+    final Ledger ledger;
+    final Sizing sizing;
+    final Stopper stopper;
+    final Explainer explainer;
+    final Lifecycle lifecycle;
+    final Quarantine quarantine;
+    final Placer placer;
+
+    Parts(PlacementPolicy policy) {
+        context = new Context(policy);
+        ledger = new Ledger(context, workers, queues);
+        sizing = new Sizing(families, workers);
+        stopper = new Stopper(context, timers);
+        explainer = new Explainer(context, workers, queues);
+        lifecycle = new Lifecycle(this);
+        quarantine = new Quarantine(this);
+        placer = new Placer(this);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/placement/internal/Placer.java
@@ -0,0 +1,117 @@
+package io.radishspindle.placement.internal;
+
+import io.radishspindle.model.JobClass;
+import io.radishspindle.model.Resources;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Decides what starts: urgent tasks, then services, gangs and batch tasks. Not thread-safe.
+ *
+ * <p>A pass runs only if something has changed since the last one, or once a second while tasks wait, because
+ * reservations and borrowed resources also depend on time.
+ */
+final class Placer {
+    private static final long IDLE_PASS_AFTER_MS = 1_000;
+    /** A task that smaller ones pass by this long gets a reservation. */
+    private static final long RESERVE_AFTER_MS = 10_000;
+
+    private final Context context;
+    private final Queues queues;
+    private final WorkerTable workers;
+    private final Ledger ledger;
+    private final RoomMaker rooms;
+    private final Reservations reservations;
+    private final UrgentPass urgent;
+    private final GangPass gangs;
+    private final FairPass fair;
+    private final GiveBack giveBack;
+    private long nextIdlePassAtMs;
+
+    Placer(Parts parts) {
+        this.context = parts.context;
+        this.queues = parts.queues;
+        this.workers = parts.workers;
+        this.ledger = parts.ledger;
+        this.rooms = new RoomMaker(parts);
+        this.reservations = new Reservations(parts);
+        this.urgent = new UrgentPass(parts, rooms);
+        this.gangs = new GangPass(parts, reservations);
+        this.fair = new FairPass(context, ledger);
+        this.giveBack = new GiveBack(parts, rooms);
+    }
+
+    void run() {
+        boolean due = queues.waitingTasks() > 0 && context.nowMs >= nextIdlePassAtMs;
+        if (!context.mayStart || !(queues.changed || due)) {
+            return;
+        }
+        queues.changed = false;
+        nextIdlePassAtMs = context.nowMs + IDLE_PASS_AFTER_MS;
+        rooms.clear();
+        reservations.refresh();
+        urgent.run();
+        fair.run(queues.of(JobClass.SERVICE), this::chooseForService);
+        gangs.run();
+        reserveForPassedBy();
+        fair.run(queues.of(JobClass.BATCH), this::chooseForBatch);
+        giveBack.run();
+    }
+
+    private @Nullable WorkerState chooseForService(JobState job) {
+        WorkerState best = null;
+        double bestScore = Double.MAX_VALUE;
+        for (WorkerState worker : workers.all()) {
+            if (!worker.isUsable() || !job.demand.fitsIn(worker.freeForOthers()) || !reservations.allows(job, worker)) {
+                continue;
+            }
+            double score = spreadScore(job, worker);
+            if (score < bestScore) {
+                best = worker;
+                bestScore = score;
+            }
+        }
+        return chosen(job, best);
+    }
+
+    /** Fewest replicas in the rack first, then workers without accelerators, then best fit. */
+    private static double spreadScore(JobState job, WorkerState worker) {
+        double tier = job.demand.accelerators() == 0 && worker.hasAccelerators() ? 100 : 0;
+        return 1_000.0 * job.replicasIn(worker.info.rack()) + tier + WorkerTable.leftover(worker, job.demand);
+    }
+
+    private @Nullable WorkerState chooseForBatch(JobState job) {
+        return chosen(job, workers.bestFit(job.demand, worker -> reservations.allows(job, worker)));
+    }
+
+    private @Nullable WorkerState chosen(JobState job, @Nullable WorkerState worker) {
+        if (worker != null) {
+            reservations.noteStart(job, worker);
+        } else {
+            blockIfNowhere(job.demand);
+        }
+        return worker;
+    }
+
+    /** Remembers a size that fits nowhere even without earmarks and reservations. */
+    private void blockIfNowhere(Resources demand) {
+        if (!rooms.hasEarmarks() && workers.bestFit(demand, w -> true) == null) {
+            ledger.block(demand);
+        }
+    }
+
+    private void reserveForPassedBy() {
+        reserveForOldest(queues.of(JobClass.SERVICE));
+        reserveForOldest(queues.of(JobClass.BATCH));
+    }
+
+    private void reserveForOldest(ClassQueue queue) {
+        if (queue.isEmpty()) {
+            return;
+        }
+        JobState oldest = queue.bucketsByArrival().iterator().next().head();
+        boolean passedBy = context.nowMs - oldest.acceptedAtMs >= RESERVE_AFTER_MS;
+        if (passedBy && ledger.isBlocked(oldest.demand)) {
+            reservations.reserve(oldest, 1);
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/placement/internal/Reservations.java
@@ -0,0 +1,162 @@
+package io.radishspindle.placement.internal;
+
+import io.radishspindle.model.JobClass;
+import io.radishspindle.model.Resources;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Reservations for jobs that need more room than is free at once: gangs, and single tasks that smaller ones would pass
+ * by for ever. Not thread-safe.
+ *
+ * <p>Invariant: a worker is part of at most one reservation, and there are at most {@link #MAX_RESERVATIONS}.
+ */
+final class Reservations {
+    /** More reservations would keep more room idle than the waiting time of the later jobs is worth. */
+    private static final int MAX_RESERVATIONS = 2;
+
+    private static final long REPLAN_AFTER_MS = 1_000;
+
+    private record End(long atMs, Attempt attempt) {}
+
+    private final Context context;
+    private final WorkerTable workers;
+    private final Families families;
+    private final List<Reservation> active = new ArrayList<>();
+
+    Reservations(Parts parts) {
+        this.context = parts.context;
+        this.workers = parts.workers;
+        this.families = parts.families;
+    }
+
+    /** Drops reservations whose job has started or ended. */
+    void refresh() {
+        active.removeIf(r -> r.job.bucket == null);
+    }
+
+    @Nullable
+    Reservation of(JobState job) {
+        for (Reservation reservation : active) {
+            if (reservation.job == job) {
+                return reservation;
+            }
+        }
+        return null;
+    }
+
+    boolean isReserved(WorkerState worker) {
+        return active.stream().anyMatch(r -> r.slack.containsKey(worker));
+    }
+
+    boolean allows(JobState job, WorkerState worker) {
+        if (active.isEmpty()) {
+            return true;
+        }
+        long endAtMs = expectedEndAtMs(job);
+        for (Reservation reservation : active) {
+            if (reservation.job != job && !reservation.allows(worker, job.demand, endAtMs, context.nowMs)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    void noteStart(JobState job, WorkerState worker) {
+        for (Reservation reservation : active) {
+            if (reservation.job != job) {
+                reservation.noteStart(worker, job.demand, expectedEndAtMs(job));
+            }
+        }
+    }
+
+    private long expectedEndAtMs(JobState job) {
+        if (job.spec.jobClass() == JobClass.SERVICE) {
+            return Long.MAX_VALUE;
+        }
+        return context.nowMs + families.of(job).expectedRunMs(job.spec);
+    }
+
+    /** Reserves room for {@code count} tasks of a job that does not fit now, or plans again after a while. */
+    void reserve(JobState job, int count) {
+        Reservation known = of(job);
+        if (known != null && context.nowMs - known.plannedAtMs < REPLAN_AFTER_MS) {
+            return;
+        }
+        if (known == null && active.size() >= MAX_RESERVATIONS) {
+            return;
+        }
+        active.remove(known);
+        Reservation planned = plan(job, count, known);
+        if (planned != null) {
+            active.add(planned);
+        }
+    }
+
+    private @Nullable Reservation plan(JobState job, int count, @Nullable Reservation known) {
+        Map<WorkerState, Resources> future = new HashMap<>();
+        List<End> ends = new ArrayList<>();
+        int fits = 0;
+        for (WorkerState worker : workers.all()) {
+            if (worker.isUsable() && !isReserved(worker)) {
+                future.put(worker, worker.free);
+                fits += WorkerTable.fitCount(job.demand, worker.free, count);
+                worker.attempts.values().forEach(a -> ends.add(new End(expectedEndAtMs(a), a)));
+            }
+        }
+        ends.sort(Comparator.comparingLong(End::atMs));
+        long shadowAtMs = context.nowMs;
+        Iterator<End> next = ends.iterator();
+        while (fits < count && next.hasNext()) {
+            End end = next.next();
+            shadowAtMs = end.atMs();
+            fits += advance(future, end.attempt(), job.demand, count);
+        }
+        if (fits < count || shadowAtMs == Long.MAX_VALUE) {
+            return null;
+        }
+        long first = known == null ? shadowAtMs : known.firstShadowAtMs;
+        return new Reservation(job, shadowAtMs, first, context.nowMs, slack(future, job.demand, count));
+    }
+
+    private static int advance(Map<WorkerState, Resources> future, Attempt attempt, Resources demand, int count) {
+        Resources before = future.getOrDefault(attempt.worker, Resources.NONE);
+        Resources after = before.plus(attempt.charged);
+        future.put(attempt.worker, after);
+        return WorkerTable.fitCount(demand, after, count) - WorkerTable.fitCount(demand, before, count);
+    }
+
+    private static Map<WorkerState, Resources> slack(Map<WorkerState, Resources> future, Resources demand, int count) {
+        List<WorkerState> order = new ArrayList<>(future.keySet());
+        Comparator<WorkerState> byFit = Comparator.comparingInt(
+                w -> -WorkerTable.fitCount(demand, future.getOrDefault(w, Resources.NONE), count));
+        order.sort(byFit.thenComparing((WorkerState w) -> w.id));
+        Map<WorkerState, Resources> slack = new HashMap<>();
+        int missing = count;
+        for (WorkerState worker : order) {
+            Resources free = future.getOrDefault(worker, Resources.NONE);
+            int here = WorkerTable.fitCount(demand, free, missing);
+            if (here == 0) {
+                break;
+            }
+            slack.put(worker, free.minus(demand.times(here)));
+            missing -= here;
+        }
+        return slack;
+    }
+
+    /** An attempt that has run longer than expected is expected to run as long again. */
+    private long expectedEndAtMs(Attempt attempt) {
+        JobState job = attempt.job;
+        if (job == null || job.spec.jobClass() == JobClass.SERVICE) {
+            return Long.MAX_VALUE;
+        }
+        long planned = attempt.startedAtMs + families.of(job).expectedRunMs(job.spec);
+        return planned > context.nowMs ? planned : 2 * context.nowMs - attempt.startedAtMs + 1;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/placement/internal/RoomMaker.java
@@ -0,0 +1,121 @@
+package io.radishspindle.placement.internal;
+
+import io.radishspindle.model.Resources;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Stops running tasks to make room for a waiting one and keeps the room for it. Not thread-safe.
+ *
+ * <p>The room is kept by earmarks, which are set anew in each pass: first on workers on which enough is being stopped
+ * already, then on the worker on which the least work is lost.
+ */
+final class RoomMaker {
+    /** Keeps workers with accelerators the last choice for tasks that need none. */
+    private static final double ACCELERATOR_PENALTY = 1e12;
+
+    private record Plan(WorkerState worker, List<Attempt> victims, double lostWork) {}
+
+    private final Context context;
+    private final WorkerTable workers;
+    private final Stopper stopper;
+    private final Set<WorkerState> earmarked = new HashSet<>();
+
+    RoomMaker(Parts parts) {
+        this.context = parts.context;
+        this.workers = parts.workers;
+        this.stopper = parts.stopper;
+    }
+
+    void clear() {
+        earmarked.forEach(worker -> worker.earmarked = Resources.NONE);
+        earmarked.clear();
+    }
+
+    boolean hasEarmarks() {
+        return !earmarked.isEmpty();
+    }
+
+    /** Keeps room for a task, stopping attempts if necessary. Returns whether there will be room. */
+    boolean makeRoom(Resources demand, Predicate<Attempt> mayStop, StopReason reason) {
+        Plan best = null;
+        for (WorkerState worker : workers.all()) {
+            if (!worker.isUsable() || !demand.fitsIn(worker.info.capacity())) {
+                continue;
+            }
+            Plan plan = plan(worker, demand, mayStop);
+            if (plan != null && (best == null || plan.lostWork() < best.lostWork())) {
+                best = plan;
+            }
+        }
+        if (best == null) {
+            return false;
+        }
+        WorkerState worker = best.worker();
+        worker.earmarked = worker.earmarked.plus(demand);
+        earmarked.add(worker);
+        best.victims().forEach(victim -> stopper.stop(victim, reason));
+        return true;
+    }
+
+    private @Nullable Plan plan(WorkerState worker, Resources demand, Predicate<Attempt> mayStop) {
+        Resources available = worker.free.plus(worker.stopping).minus(worker.earmarked);
+        double penalty = demand.accelerators() == 0 && worker.hasAccelerators() ? ACCELERATOR_PENALTY : 0;
+        if (demand.fitsIn(available)) {
+            return new Plan(worker, List.of(), penalty);
+        }
+        List<Attempt> candidates = new ArrayList<>();
+        for (Attempt attempt : worker.attempts.values()) {
+            if (!attempt.isStopping() && mayStop.test(attempt)) {
+                candidates.add(attempt);
+            }
+        }
+        candidates.sort(Comparator.comparingDouble(this::lostWork));
+        List<Attempt> victims = choose(candidates, demand, available);
+        if (victims == null) {
+            return null;
+        }
+        double lost = victims.stream().mapToDouble(this::lostWork).sum();
+        return new Plan(worker, victims, lost + penalty);
+    }
+
+    private @Nullable List<Attempt> choose(List<Attempt> candidates, Resources demand, Resources available) {
+        List<Attempt> victims = new ArrayList<>();
+        Resources room = available;
+        for (Attempt attempt : candidates) {
+            if (demand.fitsIn(room)) {
+                break;
+            }
+            victims.add(attempt);
+            room = room.plus(attempt.charged);
+        }
+        if (!demand.fitsIn(room)) {
+            return null;
+        }
+        return withoutNeedless(victims, demand, room);
+    }
+
+    private static List<Attempt> withoutNeedless(List<Attempt> victims, Resources demand, Resources room) {
+        List<Attempt> needed = new ArrayList<>();
+        Resources left = room;
+        for (int i = victims.size() - 1; i >= 0; i--) {
+            Resources without = left.minus(victims.get(i).charged);
+            if (demand.fitsIn(without)) {
+                left = without;
+            } else {
+                needed.add(victims.get(i));
+            }
+        }
+        return needed;
+    }
+
+    /** Core-milliseconds that are lost if the attempt is stopped, plus one so that fewer victims are preferred. */
+    private double lostWork(Attempt attempt) {
+        return (double) attempt.charged.milliCores() * (context.nowMs - attempt.startedAtMs) + 1;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/placement/internal/Sizing.java
@@ -0,0 +1,53 @@
+package io.radishspindle.placement.internal;
+
+import io.radishspindle.model.Resources;
+
+/** Decides how much is charged for a task. Not thread-safe. */
+final class Sizing {
+    private final Families families;
+    private final WorkerTable workers;
+
+    Sizing(Families families, WorkerTable workers) {
+        this.families = families;
+        this.workers = workers;
+    }
+
+    /**
+     * The declared size, raised to the usage learnt for the family. If the raised size, or a gang of it, would fit on
+     * no set of workers, the declared size is kept, because a job that was accepted must be able to start.
+     */
+    Resources reservation(JobState job) {
+        Resources declared = job.spec.perTask();
+        Resources raised = families.of(job).reservation(declared);
+        if (raised.equals(declared)) {
+            return declared;
+        }
+        int needed = job.isGang() ? job.spec.tasks() : 1;
+        return capacityFor(raised, needed) >= needed ? raised : declared;
+    }
+
+    /** How many tasks of a size the empty workers hold together, counted up to {@code atMost}. */
+    int capacityFor(Resources demand, int atMost) {
+        int count = 0;
+        for (WorkerState worker : workers.all()) {
+            if (worker.condition != WorkerState.Condition.LEAVING && worker.condition != WorkerState.Condition.LOST) {
+                count += WorkerTable.fitCount(demand, worker.info.capacity(), atMost - count);
+            }
+            if (count >= atMost) {
+                return count;
+            }
+        }
+        return count;
+    }
+
+    /** For each resource the largest amount that any known worker has. */
+    Resources largestAmounts() {
+        Resources largest = Resources.NONE;
+        for (WorkerState worker : workers.all()) {
+            if (worker.condition != WorkerState.Condition.LOST) {
+                largest = Family.max(largest, worker.info.capacity());
+            }
+        }
+        return largest;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/placement/internal/Team.java
@@ -0,0 +1,30 @@
+package io.radishspindle.placement.internal;
+
+import io.radishspindle.model.Resources;
+import io.radishspindle.placement.PlacementPolicy;
+
+/** What a team holds. Not thread-safe. */
+final class Team {
+    final String name;
+    Resources used = Resources.NONE;
+
+    Team(String name) {
+        this.name = name;
+    }
+
+    /** The largest part of its quota that the team uses of any resource; above 1 it borrows. */
+    double share(PlacementPolicy policy) {
+        Resources quota = policy.quotaOf(name);
+        double cores = part(used.milliCores(), quota.milliCores());
+        double memory = part(used.memoryMib(), quota.memoryMib());
+        double accelerators = part(used.accelerators(), quota.accelerators());
+        return Math.max(cores, Math.max(memory, accelerators));
+    }
+
+    private static double part(long used, long quota) {
+        if (used <= 0) {
+            return 0;
+        }
+        return quota <= 0 ? Double.MAX_VALUE : (double) used / quota;
+    }
+}
