--- a/library/src/main/java/io/radishspindle/placement/internal/FairPass.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/FairPass.java
@@ -17,6 +17,9 @@
         WorkerState choose(JobState job);
     }
 
+    /** Bounds the search for a job that may run beside the reservations. */
+    private static final int MAX_TRIED_PER_BUCKET = 8;
+
     private record Candidate(Team team, double share, long headSequence) {}
 
     private static final Comparator<Candidate> ORDER =
@@ -60,13 +63,26 @@
             if (ledger.isBlocked(bucket.demand) || failed.contains(bucket)) {
                 continue;
             }
-            JobState job = bucket.head();
+            if (startFrom(bucket, chooser)) {
+                return true;
+            }
+            failed.add(bucket);
+        }
+        return false;
+    }
+
+    /** Jobs of a bucket differ in run time, so a reservation may stop the oldest and let a later one pass. */
+    private boolean startFrom(Bucket bucket, Chooser chooser) {
+        int tried = 0;
+        for (JobState job : bucket.jobs.values()) {
             WorkerState worker = chooser.choose(job);
             if (worker != null) {
                 ledger.start(job, job.ready.nextSetBit(0), worker);
                 return true;
             }
-            failed.add(bucket);
+            if (++tried == MAX_TRIED_PER_BUCKET || ledger.isBlocked(bucket.demand)) {
+                return false;
+            }
         }
         return false;
     }
--- a/library/src/main/java/io/radishspindle/placement/internal/TaskEvents.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/TaskEvents.java
@@ -100,6 +100,9 @@
     private void lateEnd(TaskEnded event) {
         int index = event.attempt().task().index();
         JobState job = jobs.get(event.attempt().task().jobId());
+        if (event.attempt().epoch() > context.epoch) {
+            return;
+        }
         if (job == null || !job.hasTask(index)) {
             ended.put(event.attempt(), true);
             record(event, event.outcome() == TaskOutcome.SUCCEEDED);
