--- a/library/src/test/java/io/radishspindle/placement/ClassPoliciesTest.java
+++ b/library/src/test/java/io/radishspindle/placement/ClassPoliciesTest.java
@@ -123,7 +123,7 @@
         assertThat(group.live("gang")).hasSize(4);
     }
 
-    /** Guards against a gang that small tasks pass by for ever, and against reserved room that stays idle needlessly. */
+    /** Guards against a gang that small tasks pass by for ever, and against reserved room left idle needlessly. */
     @Test
     void should_backfill_only_tasks_that_end_before_the_reservation() {
         // given
