--- a/library/src/main/java/io/radishspindle/placement/internal/FairPass.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/FairPass.java
@@ -1,7 +1,10 @@
 package io.radishspindle.placement.internal;
 
+import io.radishspindle.model.Resources;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
@@ -27,11 +30,17 @@
 
     private final Context context;
     private final Ledger ledger;
+    private final Families families;
+    private final Reservations reservations;
     private final Set<Bucket> failed = new HashSet<>();
+    /** The shortest run time with which a size found no worker in this pass; longer ones find none either. */
+    private final Map<Resources, Long> shortestFailed = new HashMap<>();
 
-    FairPass(Context context, Ledger ledger) {
+    FairPass(Context context, Ledger ledger, Families families, Reservations reservations) {
         this.context = context;
         this.ledger = ledger;
+        this.families = families;
+        this.reservations = reservations;
     }
 
     void run(ClassQueue queue, Chooser chooser) {
@@ -39,6 +48,7 @@
             return;
         }
         failed.clear();
+        shortestFailed.clear();
         PriorityQueue<Candidate> teams = new PriorityQueue<>(ORDER);
         queue.teams().forEach(team -> addCandidate(teams, queue, team));
         Candidate next = teams.poll();
@@ -75,10 +85,13 @@
     private boolean startFrom(Bucket bucket, Chooser chooser) {
         int tried = 0;
         for (JobState job : bucket.jobs.values()) {
-            WorkerState worker = chooser.choose(job);
-            if (worker != null) {
-                ledger.start(job, job.ready.nextSetBit(0), worker);
-                return true;
+            if (!isHopeless(job)) {
+                WorkerState worker = chooser.choose(job);
+                if (worker != null) {
+                    ledger.start(job, job.ready.nextSetBit(0), worker);
+                    return true;
+                }
+                shortestFailed.merge(bucket.demand, runMs(job), Math::min);
             }
             if (++tried == MAX_TRIED_PER_BUCKET || ledger.isBlocked(bucket.demand)) {
                 return false;
@@ -86,4 +99,13 @@
         }
         return false;
     }
+
+    /** Whether a job that runs no longer found no worker before; one with a reservation of its own still may. */
+    private boolean isHopeless(JobState job) {
+        return runMs(job) >= shortestFailed.getOrDefault(job.demand, Long.MAX_VALUE) && reservations.of(job) == null;
+    }
+
+    private long runMs(JobState job) {
+        return families.of(job).expectedRunMs(job.spec);
+    }
 }
--- a/library/src/main/java/io/radishspindle/placement/internal/Family.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/Family.java
@@ -86,6 +86,11 @@
         failedWorkers.remove(workerId);
     }
 
+    /** Whether the family has failed on another worker since its last success. */
+    boolean failsElsewhere(String workerId) {
+        return failedWorkers.size() > (failedWorkers.contains(workerId) ? 1 : 0);
+    }
+
     boolean failsAlways() {
         return failedInRow >= SET_ASIDE_ATTEMPTS
                 && failedJobs.size() >= SET_ASIDE_JOBS
--- a/library/src/main/java/io/radishspindle/placement/internal/Placer.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/Placer.java
@@ -36,7 +36,7 @@
         this.reservations = new Reservations(parts);
         this.urgent = new UrgentPass(parts, rooms);
         this.gangs = new GangPass(parts, reservations);
-        this.fair = new FairPass(context, ledger);
+        this.fair = new FairPass(context, ledger, parts.families, reservations);
         this.giveBack = new GiveBack(parts, rooms);
     }
 
--- a/library/src/main/java/io/radishspindle/placement/internal/Quarantine.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/Quarantine.java
@@ -40,6 +40,9 @@
     }
 
     void noteFailure(WorkerState worker, JobState job, int index) {
+        if (families.of(job).failsElsewhere(worker.id)) {
+            return;
+        }
         worker.failuresInRow.put(job.spec.id(), new WorkerState.FailedStart(job, index));
         if (worker.quarantinedUntilMs == 0 && isBad(worker) && quarantined < limit()) {
             begin(worker);
