--- /dev/null
+++ b/library/src/main/java/io/radishspindle/ownership/Owner.java
@@ -0,0 +1,454 @@
+package io.radishspindle.ownership;
+
+import io.radishspindle.membership.GroupSummary;
+import io.radishspindle.model.JobSpec;
+import io.radishspindle.model.JobStatus;
+import io.radishspindle.model.Resources;
+import io.radishspindle.model.TaskAttempt;
+import io.radishspindle.model.WorkerInfo;
+import io.radishspindle.placement.GroupPlacement;
+import io.radishspindle.placement.PlacementEvent;
+import io.radishspindle.placement.PlacementPolicy;
+import io.radishspindle.platform.Store;
+import io.radishspindle.platform.WorkerClient;
+import io.radishspindle.platform.WorkerClient.ControlReply;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.LongFunction;
+import org.jspecify.annotations.Nullable;
+import org.tinylog.Logger;
+
+/**
+ * A VM that holds an epoch of a group. Not thread-safe; one object per epoch, never revived.
+ *
+ * <p>Invariants: renewals, starts and stops are sent only while a majority of every worker set that may be in force has
+ * answered messages of this epoch that were sent less than a control lease ago; once that authority has been gained and
+ * lost again, the object ends, and the VM must raise the epoch to own the group again.
+ */
+final class Owner implements WorkerLink.Listener, JobDesk.Commands {
+    /** Told that the object has ended. */
+    interface Listener {
+        void ended(Owner owner, String reason);
+    }
+
+    private final Effects fx;
+    private final OwnershipTiming timing;
+    private final String group;
+    private final String recordKey;
+    private final OwnershipRecord record;
+    private final Listener listener;
+    private final Map<String, WorkerLink> links = new TreeMap<>();
+    private final Set<TaskAttempt> reported = new HashSet<>();
+    private final Set<String> unreachable = new HashSet<>();
+    private final Set<String> lost = new HashSet<>();
+    private final Set<String> leaving = new HashSet<>();
+    private final Map<String, ControlReply> firstReplies = new TreeMap<>();
+    private final Journal journal;
+    private final JobDesk desk;
+    private List<Set<String>> quorums;
+    private long confirmedAtMs;
+    private boolean confirming;
+    private long nextConfirmAtMs;
+    private long majorityAtMs = Quorum.NEVER;
+    private boolean serving;
+    private boolean mayStart;
+    private boolean stopping;
+    private boolean ended;
+
+    /** @param confirmedAtMs when the write of the record was sent */
+    Owner(
+            Effects fx,
+            OwnershipTiming timing,
+            String group,
+            OwnershipRecord record,
+            long confirmedAtMs,
+            GroupPlacement placement,
+            Listener listener) {
+        this.fx = fx;
+        this.timing = timing;
+        this.group = group;
+        this.recordKey = "group/" + group + "/owner";
+        this.record = record;
+        this.confirmedAtMs = confirmedAtMs;
+        this.quorums = record.quorums();
+        this.listener = listener;
+        for (WorkerInfo worker : record.workers()) {
+            links.put(worker.id(), new WorkerLink(fx, timing, record.epoch(), worker, this));
+        }
+        journal = new Journal(
+                fx, "group/" + group + "/", record.epoch(), this::advance, () -> end("journal has a later owner"));
+        desk = new JobDesk(fx, group, journal, placement, this);
+    }
+
+    static Owner create(
+            Effects fx,
+            OwnershipTiming timing,
+            String group,
+            OwnershipRecord record,
+            long confirmedAtMs,
+            LongFunction<GroupPlacement> placements,
+            PlacementPolicy policy,
+            Listener listener) {
+        GroupPlacement placement = placements.apply(record.epoch() * 31 + group.hashCode());
+        Owner owner = new Owner(fx, timing, group, record, confirmedAtMs, placement, listener);
+        owner.desk.feed(new PlacementEvent.PolicyChanged(policy));
+        owner.journal.start();
+        owner.tick();
+        return owner;
+    }
+
+    OwnershipRecord record() {
+        return record;
+    }
+
+    boolean isServing() {
+        return serving && !ended && !stopping;
+    }
+
+    boolean hasAuthority() {
+        return fx.now() <= authorityUntilMs();
+    }
+
+    boolean isJournalIdle() {
+        return journal.unjournalled() == 0;
+    }
+
+    Journal journal() {
+        return journal;
+    }
+
+    /** A change of the worker set may be in force: from now on a majority of both sets is needed. */
+    void requireAlso(Set<String> workers) {
+        quorums = List.of(record.workerIds(), workers);
+    }
+
+    /** The change of the worker set is complete, or certain not to be in force. */
+    void requireOnlyOwn() {
+        quorums = List.of(record.workerIds());
+    }
+
+    /** Workers that leave by the VM list. */
+    void noteLeaving(Set<String> workerIds) {
+        for (String id : workerIds) {
+            if (serving && links.containsKey(id) && leaving.add(id)) {
+                desk.feed(new PlacementEvent.WorkerLeaving(id));
+            }
+        }
+    }
+
+    void tick() {
+        if (ended) {
+            return;
+        }
+        noteMajority();
+        long authorityUntil = stopping ? Quorum.NEVER : authorityUntilMs();
+        if (majorityAtMs != Quorum.NEVER && !stopping && fx.now() > authorityUntil) {
+            fx.metrics().authorityLost();
+            end("no majority of workers answers");
+            return;
+        }
+        journal.tick();
+        desk.tick();
+        if (ended) {
+            return;
+        }
+        noteWorkers();
+        advance();
+        if (serving) {
+            updateMayStart();
+            desk.feed(new PlacementEvent.Tick());
+        }
+        sendAll(authorityUntil);
+    }
+
+    /** Sends what the handled event caused. */
+    void flush() {
+        if (!ended && !stopping) {
+            sendAll(authorityUntilMs());
+        }
+    }
+
+    void submit(long request, JobSpec job) {
+        desk.submit(request, job);
+    }
+
+    void cancel(long request, String jobId) {
+        desk.cancel(request, jobId);
+    }
+
+    Optional<JobStatus> status(String jobId) {
+        return desk.status(jobId);
+    }
+
+    List<JobStatus> statuses(int limit) {
+        return desk.statuses(limit);
+    }
+
+    void update(PlacementPolicy policy) {
+        desk.feed(new PlacementEvent.PolicyChanged(policy));
+    }
+
+    GroupSummary summary() {
+        if (!serving) {
+            Resources none = Resources.NONE;
+            return new GroupSummary(group, record.epoch(), none, none, none, 0, false);
+        }
+        GroupPlacement.Totals totals = desk.placement().totals();
+        return new GroupSummary(
+                group,
+                record.epoch(),
+                totals.capacity(),
+                totals.free(),
+                totals.largestWorker(),
+                totals.queuedTasks(),
+                isServing());
+    }
+
+    /** Stops all commands before a release; unacknowledged finishes stay with the workers. */
+    void stop() {
+        stopping = true;
+        links.values().forEach(WorkerLink::close);
+    }
+
+    /** Ends without telling the listener. */
+    void close() {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        links.values().forEach(WorkerLink::close);
+        journal.close();
+        desk.close();
+    }
+
+    /** Workers that may leave the record: they were lost or silent for long. */
+    Set<String> longLost() {
+        Set<String> result = new HashSet<>();
+        links.forEach((id, link) -> {
+            long silentSince = Math.max(link.answeredSentAtMs(), majorityAtMs);
+            if (!link.isReady()
+                    && link.isLost()
+                    && fx.now() - silentSince > timing.lostAfterMs() + OwnershipTiming.KEEP_LOST_WORKER_MS) {
+                result.add(id);
+            }
+        });
+        return result;
+    }
+
+    /** Whether all workers but these answer, so that raising the epoch leaves no task open. */
+    boolean allReadyExcept(Set<String> ids) {
+        return links.entrySet().stream()
+                .allMatch(entry ->
+                        ids.contains(entry.getKey()) || entry.getValue().isReady());
+    }
+
+    @Override
+    public boolean start(String workerId, WorkerClient.Start start) {
+        WorkerLink link = links.get(workerId);
+        if (link == null || !link.isReady() || !mayStart) {
+            return false;
+        }
+        link.start(start);
+        return true;
+    }
+
+    @Override
+    public void order(String workerId, WorkerClient.Order order) {
+        WorkerLink link = links.get(workerId);
+        if (link != null) {
+            link.order(order);
+        }
+    }
+
+    @Override
+    public void acknowledge(String workerId, TaskAttempt attempt) {
+        reported.remove(attempt);
+        WorkerLink link = links.get(workerId);
+        if (link != null) {
+            link.acknowledge(attempt);
+        }
+    }
+
+    @Override
+    public void claimed(WorkerLink link, ControlReply reply, Set<TaskAttempt> neverStarted) {
+        unreachable.remove(link.worker.id());
+        lost.remove(link.worker.id());
+        leaving.remove(link.worker.id());
+        if (!serving) {
+            firstReplies.put(link.worker.id(), reply);
+            noteMajority();
+            advance();
+            return;
+        }
+        neverStarted.forEach(attempt ->
+                desk.feed(new PlacementEvent.StartRefused(attempt, link.worker.id(), "start did not arrive")));
+        introduce(link, reply);
+    }
+
+    @Override
+    public void reported(WorkerLink link, ControlReply reply) {
+        if (!serving) {
+            return;
+        }
+        for (WorkerClient.Refused refused : reply.refused()) {
+            desk.feed(new PlacementEvent.StartRefused(refused.attempt(), link.worker.id(), refused.reason()));
+        }
+        reportFinished(link, reply);
+        for (WorkerClient.Running running : reply.running()) {
+            desk.feed(new PlacementEvent.UsageReported(running.attempt(), running.used()));
+        }
+        noteLeaving(link, reply);
+        desk.feed(new PlacementEvent.Tick());
+    }
+
+    @Override
+    public void superseded(WorkerLink link, ControlReply reply) {
+        if (reply.epoch() > record.epoch()) {
+            end("worker " + link.worker.id() + " has seen epoch " + reply.epoch());
+        }
+    }
+
+    private void introduce(WorkerLink link, ControlReply reply) {
+        reportFinished(link, reply);
+        List<PlacementEvent.RunningTask> running = reply.running().stream()
+                .map(task -> new PlacementEvent.RunningTask(task.attempt(), task.reserved()))
+                .toList();
+        desk.feed(new PlacementEvent.WorkerClaimed(link.worker, running));
+        noteLeaving(link, reply);
+    }
+
+    private void reportFinished(WorkerLink link, ControlReply reply) {
+        for (WorkerClient.Finished finished : reply.finished()) {
+            TaskAttempt attempt = finished.attempt();
+            if (!reported.add(attempt)) {
+                continue;
+            }
+            desk.feed(new PlacementEvent.TaskEnded(attempt, link.worker.id(), finished.outcome(), finished.detail()));
+            if (desk.isSettled(attempt)) {
+                acknowledge(link.worker.id(), attempt);
+            }
+        }
+    }
+
+    private void noteLeaving(WorkerLink link, ControlReply reply) {
+        if (reply.leaving() && leaving.add(link.worker.id())) {
+            desk.feed(new PlacementEvent.WorkerLeaving(link.worker.id()));
+        }
+    }
+
+    private long authorityUntilMs() {
+        long at = Quorum.majorityAt(quorums, id -> at(id, true));
+        return at == Quorum.NEVER ? Quorum.NEVER : at + timing.controlLeaseMs();
+    }
+
+    private long at(String workerId, boolean answered) {
+        WorkerLink link = links.get(workerId);
+        if (link == null) {
+            return Quorum.NEVER;
+        }
+        return answered ? link.answeredSentAtMs() : link.claimedAtMs();
+    }
+
+    private void noteMajority() {
+        if (majorityAtMs == Quorum.NEVER) {
+            majorityAtMs = Quorum.majorityAt(quorums, id -> at(id, false));
+        }
+    }
+
+    /** Starts to serve once the tasks on the workers are known well enough. */
+    private void advance() {
+        if (serving || ended || !journal.isOpen() || majorityAtMs == Quorum.NEVER) {
+            return;
+        }
+        boolean all = Quorum.allAt(record.workerIds(), id -> at(id, false)) != Quorum.NEVER;
+        if (!all && fx.now() <= majorityAtMs + timing.controlLeaseMs()) {
+            return;
+        }
+        serving = true;
+        desk.recover(all ? fx.now() : majorityAtMs + timing.takeoverOpenMs());
+        firstReplies.forEach((id, reply) -> {
+            WorkerLink link = links.get(id);
+            if (link != null) {
+                introduce(link, reply);
+            }
+        });
+        firstReplies.clear();
+        Logger.info("event=group-served group={} epoch={} all-workers={}", group, record.epoch(), all);
+        updateMayStart();
+        desk.feed(new PlacementEvent.Tick());
+    }
+
+    private void updateMayStart() {
+        int bound = mayStart ? OwnershipTiming.MAX_UNJOURNALLED : OwnershipTiming.MAX_UNJOURNALLED / 2;
+        boolean next = hasAuthority() && journal.unjournalled() <= bound;
+        if (next != mayStart) {
+            mayStart = next;
+            desk.feed(new PlacementEvent.AuthorityChanged(next, record.epoch()));
+        }
+    }
+
+    private void noteWorkers() {
+        if (!serving) {
+            return;
+        }
+        links.forEach((id, link) -> {
+            if (link.claimedAtMs() == Quorum.NEVER || !link.isUnreachable()) {
+                return;
+            }
+            if (unreachable.add(id)) {
+                desk.feed(new PlacementEvent.WorkerUnreachable(id));
+            }
+            if (link.isLost() && lost.add(id)) {
+                fx.metrics().workerLost();
+                Logger.warn("event=worker-lost group={} worker={}", group, id);
+                desk.feed(new PlacementEvent.WorkerLost(id));
+            }
+        });
+    }
+
+    private void sendAll(long authorityUntilMs) {
+        long confirmedUntil = confirmedAtMs + timing.heartbeatMs();
+        boolean confirm = false;
+        for (WorkerLink link : links.values()) {
+            link.tick(authorityUntilMs, confirmedUntil);
+            confirm |= link.needsConfirmation();
+        }
+        if (confirm && !confirming && fx.now() > confirmedUntil && fx.now() >= nextConfirmAtMs) {
+            confirmEpoch();
+        }
+    }
+
+    private void confirmEpoch() {
+        confirming = true;
+        long sentAt = fx.now();
+        nextConfirmAtMs = sentAt + timing.heartbeatMs();
+        fx.read(recordKey, result -> {
+            confirming = false;
+            if (ended || result.isLeft()) {
+                return;
+            }
+            @Nullable OwnershipRecord found = decode(result.get());
+            if (found == null || found.epoch() > record.epoch()) {
+                end("record has a later epoch");
+            } else {
+                confirmedAtMs = sentAt;
+            }
+        });
+    }
+
+    static @Nullable OwnershipRecord decode(Store.Entry entry) {
+        return entry.exists() ? RecordCodec.decode(entry.value(), OwnershipRecord.class) : null;
+    }
+
+    private void end(String reason) {
+        if (!ended) {
+            close();
+            Logger.warn("event=ownership-ended group={} epoch={} reason=\"{}\"", group, record.epoch(), reason);
+            listener.ended(this, reason);
+        }
+    }
+}
