Add request path: deterministic routing core and HTTP runtime

Cause: an entry VM had no way to take a caller's request to an executor.

Change: RoutingCore decides (slots by rendezvous hashing, class weights, deficit round robin between callers, early refusal, retry budget, outlier ejection, forwarding, drain); RequestService owns HTTP, timers and messages to peers.

Decisions: a VM counts itself among the owners of slots while it drains; a peer may queue a forwarded request; the intent of a keyed request is removed before its caller is told "not run".

Ruled out: recording the intent only when a slot is free, because the slot would idle during the store write.

--- /dev/null
+++ b/library/src/main/java/io/radishspindle/routing/Admission.java
@@ -0,0 +1,77 @@
+package io.radishspindle.routing;
+
+import io.radishspindle.error.Failure;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.jspecify.annotations.Nullable;
+
+/** Decides whether a new request may join the queue of its service. Not thread-safe. */
+final class Admission {
+    /** Spread of Retry-After, so that refused callers don't all return at the same moment. */
+    private static final double RETRY_JITTER = 0.25;
+
+    /**
+     * Result of a check.
+     *
+     * @param refusal why the request is refused; null if it may join
+     * @param displaced waiting request of a lower class that must leave first; null if none
+     */
+    record Decision(@Nullable Failure refusal, @Nullable Request displaced) {}
+
+    private static final Decision JOIN = new Decision(null, null);
+
+    private final RoutingLimits limits;
+    private final UniformRandomProvider random;
+
+    Admission(RoutingLimits limits, UniformRandomProvider random) {
+        this.limits = limits;
+        this.random = random;
+    }
+
+    Decision decide(ServiceState service, RoutingEvent.RequestArrived arrival, long nowMs) {
+        if (service.isUnusable(nowMs)) {
+            return new Decision(Refusals.noExecutor(service.name), null);
+        }
+        long remainingMs = arrival.deadlineAtMs() - nowMs;
+        if (remainingMs <= 0) {
+            return new Decision(Refusals.waitTooLong(0, remainingMs, 0), null);
+        }
+        double waitMs = service.expectedWaitMs(arrival.requestClass(), arrival.caller(), nowMs);
+        if (waitMs > remainingMs && limits.has(Safeguard.EARLY_REFUSAL)) {
+            long retryMs = jitter(waitMs - remainingMs);
+            return new Decision(Refusals.waitTooLong((long) waitMs, remainingMs, retryMs), null);
+        }
+        return checkBounds(service, arrival, nowMs);
+    }
+
+    private Decision checkBounds(ServiceState service, RoutingEvent.RequestArrived arrival, long nowMs) {
+        int perCaller = limits.routing().maxQueuedPerCaller();
+        if (service.queue.queuedOf(arrival.caller()) >= perCaller) {
+            long retryMs = retryAfterMs(service, arrival.requestClass(), nowMs);
+            return new Decision(Refusals.queueFull("caller " + arrival.caller(), perCaller, retryMs), null);
+        }
+        int perService = limits.routing().maxQueuedPerService();
+        if (service.queue.size() < perService) {
+            return JOIN;
+        }
+        Request displaced = service.queue.lowestBelow(arrival.requestClass());
+        if (displaced != null) {
+            return new Decision(null, displaced);
+        }
+        long retryMs = retryAfterMs(service, arrival.requestClass(), nowMs);
+        return new Decision(Refusals.queueFull("service " + service.name, perService, retryMs), null);
+    }
+
+    /** Expected time until half of what waits in the class is served, in milliseconds. */
+    long retryAfterMs(ServiceState service, RequestClass requestClass, long nowMs) {
+        int shares = 0;
+        for (RequestClass other : RequestClass.values()) {
+            shares += service.queue.size(other) > 0 || other == requestClass ? other.weight() : 0;
+        }
+        int half = service.queue.size(requestClass) / 2 * shares / requestClass.weight();
+        return jitter(service.timeToServeMs(Math.min(half, service.queue.size()) + 1, nowMs));
+    }
+
+    private long jitter(double milliseconds) {
+        return Math.max(1, (long) (milliseconds * (1 + RETRY_JITTER * random.nextDouble())));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/routing/CallerResponder.java
@@ -0,0 +1,81 @@
+package io.radishspindle.routing;
+
+import io.radishspindle.entry.http.FailureResponse;
+import io.radishspindle.error.Failure;
+import io.radishspindle.platform.ExecutorClient.ServiceResponse;
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Writes the final answer to a caller, on the event loop of its connection. Thread-safe.
+ *
+ * <p>Invariant: a caller that reads too slowly sees a closed connection, never a shortened answer that looks whole.
+ */
+final class CallerResponder implements Responder {
+    /** How long a caller may take to read its answer, in milliseconds. */
+    private static final long WRITE_TIMEOUT_MS = 30_000;
+
+    private static final int PAYLOAD_TOO_LARGE = 413;
+
+    private final Vertx vertx;
+    private final Context context;
+    private final HttpServerRequest request;
+
+    /** Must be created on the event loop of the request. */
+    CallerResponder(Vertx vertx, HttpServerRequest request) {
+        this.vertx = vertx;
+        this.request = request;
+        context = vertx.getOrCreateContext();
+    }
+
+    @Override
+    public void answer(ServiceResponse response) {
+        List<Map.Entry<String, String>> headers = HopHeaders.ofResponse(response.headers());
+        context.runOnContext(v -> write(response, headers));
+    }
+
+    @Override
+    public void fail(Failure failure) {
+        context.runOnContext(v -> writeFailure(failure));
+    }
+
+    private void write(ServiceResponse answer, List<Map.Entry<String, String>> headers) {
+        HttpServerResponse response = request.response();
+        if (response.closed() || response.ended()) {
+            return;
+        }
+        response.setStatusCode(answer.status());
+        headers.forEach(header -> response.headers().add(header.getKey(), header.getValue()));
+        boolean head = request.method().equals(HttpMethod.HEAD);
+        limitTime(head ? response.end() : response.end(answer.body()));
+    }
+
+    private void writeFailure(Failure failure) {
+        HttpServerResponse response = request.response();
+        boolean unread = BodyReader.leavesBodyUnread(failure);
+        if (unread && !response.closed() && !response.headWritten()) {
+            response.putHeader("Connection", "close");
+        }
+        Future<Void> written = BodyReader.isTooLarge(failure)
+                ? FailureResponse.write(response, PAYLOAD_TOO_LARGE, failure)
+                : FailureResponse.write(response, failure);
+        limitTime(written);
+        if (unread) {
+            written.onComplete(done -> request.connection().close());
+        }
+    }
+
+    private void limitTime(Future<Void> written) {
+        if (written.isComplete()) {
+            return;
+        }
+        long timer = vertx.setTimer(WRITE_TIMEOUT_MS, id -> request.connection().close());
+        written.onComplete(done -> vertx.cancelTimer(timer));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/routing/PeerResponder.java
@@ -0,0 +1,35 @@
+package io.radishspindle.routing;
+
+import io.radishspindle.error.ErrorCode;
+import io.radishspindle.error.Failure;
+import io.radishspindle.platform.ExecutorClient.ServiceResponse;
+import io.radishspindle.protocol.PeerMessage;
+import io.vavr.control.Either;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+
+/** Passes the final answer back to the peer that forwarded the request. Thread-safe. */
+final class PeerResponder implements Responder {
+    private final Promise<Either<Failure, PeerMessage>> promise = Promise.promise();
+
+    /** Completes with the answer; never fails. */
+    Future<Either<Failure, PeerMessage>> answer() {
+        return promise.future();
+    }
+
+    @Override
+    public void answer(ServiceResponse response) {
+        if (response.body().length() > RoutingLimits.MAX_FORWARD_BODY_BYTES) {
+            String message = "an answer of " + response.body().length() + " bytes can't be passed between entry VMs";
+            promise.tryComplete(
+                    Either.left(new Failure(ErrorCode.OUTCOME_UNKNOWN, "routing.forwarded", "", message, false, 0)));
+            return;
+        }
+        promise.tryComplete(Either.right(ForwardMessages.response(response)));
+    }
+
+    @Override
+    public void fail(Failure failure) {
+        promise.tryComplete(Either.left(failure));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/routing/PeerTable.java
@@ -0,0 +1,175 @@
+package io.radishspindle.routing;
+
+import io.radishspindle.membership.MembershipView;
+import io.radishspindle.membership.MembershipView.Endpoint;
+import io.radishspindle.membership.MembershipView.EntryVm;
+import io.radishspindle.membership.MembershipView.Liveness;
+import io.radishspindle.membership.ServiceLoad;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Load of one service at the peers, as they reported it, less the requests that were forwarded since. Not thread-safe.
+ */
+final class PeerTable {
+    /** How much longer the local queue must be than a peer's, so that requests don't move for small differences. */
+    private static final double BACKLOG_FACTOR = 2;
+
+    /** Load of one peer. */
+    private static final class Peer {
+        final String vmId;
+        String dataCentre = "";
+        int freeSlots;
+        int queued;
+        int slots;
+        int sentSinceReport;
+        boolean refusedSinceReport;
+
+        Peer(String vmId) {
+            this.vmId = vmId;
+        }
+
+        int expectedFree() {
+            return refusedSinceReport ? 0 : Math.max(0, freeSlots - sentSinceReport);
+        }
+
+        double backlog() {
+            return slots == 0 || refusedSinceReport
+                    ? Double.POSITIVE_INFINITY
+                    : (double) (queued + sentSinceReport) / slots;
+        }
+    }
+
+    private final RoutingLimits limits;
+    private final UniformRandomProvider random;
+    private final Map<String, Peer> peers = new TreeMap<>();
+    private String ownDataCentre = "";
+
+    PeerTable(RoutingLimits limits, UniformRandomProvider random) {
+        this.limits = limits;
+        this.random = random;
+    }
+
+    void update(MembershipView view, List<Endpoint> endpoints, SlotTable slots, String service) {
+        ownDataCentre = view.self().dataCentre();
+        peers.keySet().removeIf(id -> view.entryVms().stream()
+                .noneMatch(vm -> isUsable(vm, view) && vm.id().equals(id)));
+        for (EntryVm vm : view.entryVms()) {
+            if (isUsable(vm, view)) {
+                Peer peer = peers.computeIfAbsent(vm.id(), Peer::new);
+                peer.dataCentre = vm.dataCentre();
+                peer.slots = slotsOf(vm, endpoints, slots);
+                report(peer, vm.services(), service);
+            }
+        }
+    }
+
+    void forwarded(String vmId) {
+        Peer peer = peers.get(vmId);
+        if (peer != null) {
+            peer.sentSinceReport++;
+        }
+    }
+
+    void refused(String vmId) {
+        Peer peer = peers.get(vmId);
+        if (peer != null) {
+            peer.refusedSinceReport = true;
+        }
+    }
+
+    boolean hasSlots() {
+        return peers.values().stream().anyMatch(p -> p.slots > 0);
+    }
+
+    /**
+     * Chooses the peer for a request that finds no free slot here.
+     *
+     * @param ownBacklog waiting requests per own slot
+     */
+    @Nullable
+    String select(Request request, double expectedWaitMs, double ownBacklog) {
+        int bytes = request.arrival.bodyBytes();
+        if (bytes > RoutingLimits.MAX_FORWARD_BODY_BYTES) {
+            return null;
+        }
+        Peer peer = choose(p -> p.dataCentre.equals(ownDataCentre));
+        if (peer == null) {
+            peer = choose(p -> !p.dataCentre.equals(ownDataCentre) && isSameRegion(p));
+        }
+        boolean worthIt = expectedWaitMs > limits.routing().remoteWorthItMs();
+        if (peer == null && worthIt && bytes <= RoutingLimits.MAX_REMOTE_BODY_BYTES) {
+            peer = choose(p -> !isSameRegion(p));
+        }
+        if (peer == null) {
+            peer = shorterQueue(ownBacklog);
+        }
+        return peer == null ? null : peer.vmId;
+    }
+
+    /** Picks two candidates at random and takes the one with more free slots, so that VMs don't all pick the same. */
+    @Nullable
+    private Peer choose(Predicate<Peer> condition) {
+        List<Peer> free = new ArrayList<>();
+        for (Peer peer : peers.values()) {
+            if (peer.expectedFree() > 0 && condition.test(peer)) {
+                free.add(peer);
+            }
+        }
+        if (free.isEmpty()) {
+            return null;
+        }
+        Peer first = free.get(random.nextInt(free.size()));
+        Peer second = free.get(random.nextInt(free.size()));
+        return second.expectedFree() > first.expectedFree() ? second : first;
+    }
+
+    /** Slots are not spread evenly, so without this a VM with few slots would have the longest wait. */
+    @Nullable
+    private Peer shorterQueue(double ownBacklog) {
+        Peer best = null;
+        for (Peer peer : peers.values()) {
+            boolean shorter = ownBacklog > BACKLOG_FACTOR * peer.backlog() + 1;
+            if (shorter && peer.dataCentre.equals(ownDataCentre) && (best == null || peer.backlog() < best.backlog())) {
+                best = peer;
+            }
+        }
+        return best;
+    }
+
+    private boolean isSameRegion(Peer peer) {
+        return limits.regionOf(peer.dataCentre).equals(limits.regionOf(ownDataCentre));
+    }
+
+    private static boolean isUsable(EntryVm vm, MembershipView view) {
+        return vm.liveness() == Liveness.LIVE && !vm.id().equals(view.self().id());
+    }
+
+    private static int slotsOf(EntryVm vm, List<Endpoint> endpoints, SlotTable slots) {
+        int sum = 0;
+        for (Endpoint endpoint : endpoints) {
+            if (endpoint.liveness() == Liveness.LIVE && endpoint.dataCentre().equals(vm.dataCentre())) {
+                sum += slots.slots(endpoint, vm.id());
+            }
+        }
+        return sum;
+    }
+
+    private static void report(Peer peer, List<ServiceLoad> loads, String service) {
+        peer.sentSinceReport = 0;
+        peer.refusedSinceReport = false;
+        peer.freeSlots = 0;
+        peer.queued = 0;
+        for (ServiceLoad load : loads) {
+            if (load.service().equals(service)) {
+                peer.freeSlots = load.freeSlots();
+                peer.queued = load.queued();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/routing/RequestService.java
@@ -0,0 +1,262 @@
+package io.radishspindle.routing;
+
+import com.codahale.metrics.MetricRegistry;
+import com.dynatrace.hash4j.hashing.Hashing;
+import io.radishspindle.error.ErrorCode;
+import io.radishspindle.error.Failure;
+import io.radishspindle.idempotency.KeyedRequests;
+import io.radishspindle.idempotency.KeyedRequests.Begun;
+import io.radishspindle.idempotency.KeyedRequests.KeyedRequest;
+import io.radishspindle.membership.MembershipView;
+import io.radishspindle.membership.ServiceLoad;
+import io.radishspindle.platform.Clock;
+import io.radishspindle.platform.ExecutorClient;
+import io.radishspindle.platform.ExecutorClient.ServiceRequest;
+import io.radishspindle.protocol.PeerMessage;
+import io.radishspindle.protocol.PeerMessenger;
+import io.radishspindle.protocol.message.ForwardRequest;
+import io.radishspindle.routing.RoutingEvent.RequestArrived;
+import io.radishspindle.settings.EntrySettings;
+import io.vavr.control.Either;
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Handler;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.ext.web.RoutingContext;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.apache.commons.rng.simple.RandomSource;
+
+/**
+ * Routes requests of callers to slots of executors. Must be created on the event loop of the {@link PeerMessenger}; its
+ * methods may then be called from any thread, and its handler may be used on any event loop.
+ *
+ * <p>Invariant: a request accepted before {@link #drain} gets its own final answer before the drain ends.
+ */
+public final class RequestService {
+    private final Vertx vertx;
+    private final Context context;
+    private final Clock clock;
+    private final PeerMessenger peers;
+    private final KeyedRequests keyed;
+    private final EntrySettings.Routing limits;
+    private final RoutingRuntime runtime;
+    private final BodyReader bodies;
+    private final AtomicLong requestIds = new AtomicLong();
+    /** Requests between their first byte and their final answer. */
+    private final AtomicInteger inFlight = new AtomicInteger();
+
+    private final Promise<Void> idle = Promise.promise();
+    private volatile boolean draining;
+
+    public RequestService(
+            Vertx vertx,
+            Clock clock,
+            ExecutorClient executors,
+            PeerMessenger peers,
+            KeyedRequests keyed,
+            EntrySettings settings,
+            MetricRegistry metrics) {
+        this.vertx = vertx;
+        this.clock = clock;
+        this.peers = peers;
+        this.keyed = keyed;
+        limits = settings.routing();
+        context = vertx.getOrCreateContext();
+        RoutingCore core = new RoutingCore(RoutingLimits.of(settings), RandomSource.createLong());
+        runtime = new RoutingRuntime(vertx, context, clock, executors, peers, core, metrics);
+        bodies = new BodyReader(vertx, limits.maxBodyBytes());
+    }
+
+    /** Starts the timers and accepts forwarded requests of peers. */
+    public void start() {
+        context.runOnContext(v -> runtime.start());
+        peers.handle(ForwardRequest.class, this::forwarded);
+    }
+
+    /** Stops the timers; requests in flight are lost unless {@link #drain} has completed. */
+    public void close() {
+        context.runOnContext(v -> runtime.close());
+    }
+
+    /** Takes over a new view of entry VMs and endpoints. */
+    public void update(MembershipView view) {
+        context.runOnContext(v -> runtime.update(view));
+    }
+
+    /** Load of each service at this VM, at most one tick old. */
+    public List<ServiceLoad> loads() {
+        return runtime.loads();
+    }
+
+    /** Ids of endpoints that this VM itself found to be leaving. */
+    public List<String> leavingEndpoints() {
+        return runtime.leavingEndpoints();
+    }
+
+    /** Refuses new requests; completes when all requests in flight have been answered. */
+    public Future<Void> drain() {
+        draining = true;
+        context.runOnContext(v -> {
+            runtime.drain();
+            completeDrain();
+        });
+        return idle.future();
+    }
+
+    /** Handler for {@code ANY /services/:service/*}; no body handler may run before it. */
+    public Handler<RoutingContext> handler() {
+        return this::accept;
+    }
+
+    private void accept(RoutingContext routing) {
+        HttpServerRequest request = routing.request();
+        CallerResponder responder = new CallerResponder(vertx, request);
+        if (draining) {
+            responder.fail(Refusals.shuttingDown());
+            return;
+        }
+        String service = Optional.ofNullable(routing.pathParam("service")).orElse("");
+        Either<Failure, CallerRequest> head = CallerRequest.parse(request, service, limits, clock.nowMs());
+        if (head.isLeft()) {
+            responder.fail(head.getLeft());
+            return;
+        }
+        Tracked tracked = new Tracked(responder);
+        if ("100-continue".equalsIgnoreCase(request.getHeader("Expect"))) {
+            request.response().writeContinue();
+        }
+        long timeoutMs = head.get().deadlineAtMs() - clock.nowMs();
+        bodies.read(request, timeoutMs).onSuccess(body -> {
+            if (body.isLeft()) {
+                tracked.fail(body.getLeft());
+            } else {
+                admit(request, head.get(), body.get(), tracked);
+            }
+        });
+    }
+
+    private void admit(HttpServerRequest request, CallerRequest head, Buffer body, Tracked tracked) {
+        RequestArrived arrival = new RequestArrived(
+                requestIds.incrementAndGet(),
+                head.service(),
+                head.caller(),
+                head.requestClass(),
+                head.idempotent(),
+                head.acceptedAtMs(),
+                head.deadlineAtMs(),
+                body.length(),
+                0);
+        ServiceRequest serviceRequest = new ServiceRequest(head.method(), head.path(), head.headers(), body);
+        request.response().closeHandler(v -> context.runOnContext(c -> runtime.callerGone(arrival.requestId())));
+        context.runOnContext(v -> {
+            if (head.idempotencyKey().isEmpty()) {
+                runtime.submit(arrival, serviceRequest, tracked);
+            } else {
+                record(arrival, serviceRequest, head.idempotencyKey().get(), tracked);
+            }
+        });
+    }
+
+    private void record(RequestArrived arrival, ServiceRequest request, String key, Tracked tracked) {
+        Optional<Failure> refusal = runtime.wouldRefuse(arrival);
+        if (refusal.isPresent()) {
+            tracked.fail(refusal.get());
+            return;
+        }
+        KeyedRequest keyedRequest = new KeyedRequest(arrival.service(), arrival.caller(), key, fingerprint(request));
+        keyed.begin(keyedRequest, arrival.deadlineAtMs())
+                .onComplete(result -> context.runOnContext(v -> {
+                    if (result.failed()) {
+                        tracked.fail(KeyedResponder.storeFailed(result.cause()));
+                    } else if (result.result().isLeft()) {
+                        tracked.fail(result.result().getLeft());
+                    } else {
+                        recorded(arrival, request, result.result().get(), tracked);
+                    }
+                }));
+    }
+
+    private void recorded(RequestArrived arrival, ServiceRequest request, Begun begun, Tracked tracked) {
+        if (begun instanceof Begun.Granted granted) {
+            runtime.submit(arrival, request, new KeyedResponder(keyed, granted.claim(), tracked));
+        } else {
+            KeyedResponder.repeat(begun, tracked);
+        }
+    }
+
+    private static long fingerprint(ServiceRequest request) {
+        return Hashing.xxh3_64()
+                .hashStream()
+                .putString(request.method())
+                .putString(request.path())
+                .putByteArray(request.body().getBytes())
+                .getAsLong();
+    }
+
+    private Future<Either<Failure, PeerMessage>> forwarded(String fromVm, ForwardRequest message) {
+        if (draining) {
+            return Future.succeededFuture(Either.left(Refusals.shuttingDown()));
+        }
+        Optional<RequestClass> requestClass = RequestClass.parse(message.requestClass());
+        if (message.hops() != 1 || requestClass.isEmpty()) {
+            String text = "hops=" + message.hops() + " class=" + message.requestClass() + " from " + fromVm;
+            return Future.succeededFuture(
+                    Either.left(Failure.rejected(ErrorCode.PROTOCOL_ERROR, "routing.forwarded", text)));
+        }
+        long nowMs = clock.nowMs();
+        RequestArrived arrival = new RequestArrived(
+                requestIds.incrementAndGet(),
+                message.service(),
+                message.caller(),
+                requestClass.get(),
+                CallerRequest.isIdempotent(message.method()),
+                nowMs,
+                nowMs + Math.min(message.remainingMs(), limits.maxDeadlineMs()),
+                message.body().length,
+                message.hops());
+        PeerResponder responder = new PeerResponder();
+        ServiceRequest request = ForwardMessages.toRequest(message);
+        Tracked tracked = new Tracked(responder);
+        context.runOnContext(v -> runtime.submit(arrival, request, tracked));
+        return responder.answer();
+    }
+
+    private void completeDrain() {
+        if (draining && inFlight.get() == 0) {
+            idle.tryComplete();
+        }
+    }
+
+    /** Counts a request as in flight until it is answered. */
+    private final class Tracked implements Responder {
+        private final Responder target;
+
+        Tracked(Responder target) {
+            this.target = target;
+            inFlight.incrementAndGet();
+        }
+
+        @Override
+        public void answer(ExecutorClient.ServiceResponse response) {
+            target.answer(response);
+            done();
+        }
+
+        @Override
+        public void fail(Failure failure) {
+            target.fail(failure);
+            done();
+        }
+
+        private void done() {
+            inFlight.decrementAndGet();
+            context.runOnContext(v -> completeDrain());
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/routing/Responder.java
@@ -0,0 +1,11 @@
+package io.radishspindle.routing;
+
+import io.radishspindle.error.Failure;
+import io.radishspindle.platform.ExecutorClient.ServiceResponse;
+
+/** Where the final answer of a request goes. Each request is answered once. */
+interface Responder {
+    void answer(ServiceResponse response);
+
+    void fail(Failure failure);
+}
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/routing/RoutingCore.java
@@ -0,0 +1,395 @@
+package io.radishspindle.routing;
+
+import io.radishspindle.error.ErrorCode;
+import io.radishspindle.error.Failure;
+import io.radishspindle.membership.MembershipView;
+import io.radishspindle.membership.MembershipView.Endpoint;
+import io.radishspindle.membership.ServiceLoad;
+import io.radishspindle.routing.Request.Phase;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Decides where requests run: slots, queues, limits, retries, ejection. Deterministic: the same seed and events give
+ * the same actions. Belongs to one event loop; not thread-safe.
+ *
+ * <p>Invariants: each request ends with exactly one of {@code Deliver}, {@code Refuse} and {@code Abandon}; at most one
+ * attempt of a request is open; a failure claims "not run" only if no attempt can have run.
+ */
+public final class RoutingCore {
+    private static final Failure BUSY =
+            Failure.retryable(ErrorCode.OVERLOADED, Refusals.STEP, "", "executor is busy", Refusals.DEFAULT_RETRY_MS);
+
+    private final RoutingLimits limits;
+    private final Map<Long, Request> requests = new HashMap<>();
+    private final PriorityQueue<Request> deadlines =
+            new PriorityQueue<>(Comparator.comparingLong(Request::deadlineAtMs).thenComparingLong(Request::id));
+    private final ServiceTable services;
+    private final Admission admission;
+    private final OutcomeObserver observer;
+    private final RoutingStats stats = new RoutingStats();
+    private List<RoutingAction> actions = new ArrayList<>();
+    private long nowMs;
+    private boolean ready;
+    private long drainAtMs = Long.MAX_VALUE;
+
+    public RoutingCore(RoutingLimits limits, long seed) {
+        this.limits = limits;
+        UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create(seed);
+        services = new ServiceTable(limits, random);
+        admission = new Admission(limits, random);
+        observer = new OutcomeObserver(limits, stats);
+    }
+
+    /** Handles an event at {@code nowMs} of a monotonic clock and returns what is to be done, in order. */
+    public List<RoutingAction> handle(long nowMs, RoutingEvent event) {
+        this.nowMs = nowMs;
+        actions = new ArrayList<>();
+        if (event instanceof RoutingEvent.RequestArrived arrived) {
+            arrived(arrived);
+        } else if (event instanceof RoutingEvent.AttemptCompleted completed) {
+            completed(completed);
+        } else if (event instanceof RoutingEvent.CallerGone gone) {
+            callerGone(gone.requestId());
+        } else if (event instanceof RoutingEvent.ViewChanged changed) {
+            viewChanged(changed.view());
+        } else if (event instanceof RoutingEvent.ProbeCompleted probe) {
+            probed(probe);
+        } else if (event instanceof RoutingEvent.Tick) {
+            tick();
+        } else if (event instanceof RoutingEvent.DrainStarted) {
+            drain();
+        }
+        return actions;
+    }
+
+    /** Load of all services, for the heartbeats to the peers. */
+    public List<ServiceLoad> loads(long nowMs) {
+        return services.loads(nowMs);
+    }
+
+    /** Endpoints that this VM itself found leaving; those it heard of are left out, so that reports don't echo. */
+    public List<String> leavingEndpoints() {
+        return services.leavingEndpoints();
+    }
+
+    /** Why a request would be refused now, so that nothing needs to be recorded for it first. */
+    public Optional<Failure> wouldRefuse(long nowMs, RoutingEvent.RequestArrived arrival) {
+        this.nowMs = nowMs;
+        return Optional.ofNullable(refusal(arrival, false));
+    }
+
+    /** Requests without a final answer. */
+    public int open() {
+        return (int) requests.values().stream()
+                .filter(r -> r.phase != Phase.ANSWERED)
+                .count();
+    }
+
+    public RoutingStats stats() {
+        return stats;
+    }
+
+    private void arrived(RoutingEvent.RequestArrived arrival) {
+        Request request = new Request(arrival);
+        requests.put(request.id(), request);
+        Failure refusal = refusal(arrival, true);
+        if (refusal != null) {
+            refuse(request, refusal);
+            return;
+        }
+        ServiceState service = services.get(arrival.service());
+        service.retryBudget.requestArrived();
+        service.queue.add(request);
+        deadlines.add(request);
+        dispatch(service);
+    }
+
+    @Nullable
+    private Failure refusal(RoutingEvent.RequestArrived arrival, boolean displace) {
+        if (arrival.acceptedAtMs() >= drainAtMs) {
+            return Refusals.shuttingDown();
+        }
+        if (!ready) {
+            return Refusals.notReady();
+        }
+        ServiceState service = services.find(arrival.service());
+        if (service == null || !service.isKnown()) {
+            return Refusals.unknownService(arrival.service());
+        }
+        Admission.Decision decision = admission.decide(service, arrival, nowMs);
+        if (decision.displaced() != null && displace) {
+            service.queue.remove(decision.displaced());
+            long retryMs = admission.retryAfterMs(service, decision.displaced().requestClass(), nowMs);
+            refuse(decision.displaced(), withHistory(decision.displaced(), Refusals.displaced(retryMs)));
+        }
+        return decision.refusal();
+    }
+
+    private void dispatch(ServiceState service) {
+        while (true) {
+            Request request = service.queue.next();
+            if (request == null) {
+                return;
+            }
+            EndpointState executor = service.pick(request, nowMs);
+            if (executor != null) {
+                service.queue.take(request);
+                send(request, executor);
+                continue;
+            }
+            String peer = service.forwardTarget(request, nowMs);
+            if (peer == null) {
+                return;
+            }
+            service.queue.take(request);
+            forward(service, request, peer);
+        }
+    }
+
+    private void send(Request request, EndpointState executor) {
+        start(request);
+        request.sends++;
+        request.executor = executor;
+        request.triedEndpoints.add(executor.id());
+        executor.inUse++;
+        stats.sent++;
+        Endpoint to = executor.endpoint;
+        actions.add(new RoutingAction.SendToExecutor(
+                request.id(), request.attempt, to.id(), to.host(), to.port(), request.deadlineAtMs()));
+    }
+
+    private void forward(ServiceState service, Request request, String peer) {
+        start(request);
+        request.peer = peer;
+        service.peers.forwarded(peer);
+        stats.forwarded++;
+        actions.add(new RoutingAction.ForwardToPeer(request.id(), request.attempt, peer, request.deadlineAtMs()));
+    }
+
+    private void start(Request request) {
+        request.phase = Phase.RUNNING;
+        request.attempt++;
+        request.sentAtMs = nowMs;
+    }
+
+    private void completed(RoutingEvent.AttemptCompleted event) {
+        Request request = requests.get(event.requestId());
+        boolean matches = request != null
+                && request.phase != Phase.QUEUED
+                && (request.attempt == event.attempt() || !limits.has(Safeguard.ATTEMPT_MATCHING));
+        if (request == null || !matches) {
+            stats.unexpectedAnswers++;
+            return;
+        }
+        ServiceState service = services.get(request.arrival.service());
+        EndpointState executor = request.executor;
+        String peer = request.peer;
+        request.executor = null;
+        request.peer = null;
+        if (executor != null) {
+            executor.inUse--;
+            observer.observe(service, request, executor, event.outcome(), nowMs);
+        }
+        if (request.phase == Phase.ANSWERED) {
+            requests.remove(request.id());
+        } else {
+            conclude(service, request, peer, event.outcome());
+        }
+        dispatch(service);
+    }
+
+    private void conclude(ServiceState service, Request request, @Nullable String peer, AttemptOutcome outcome) {
+        if (outcome instanceof AttemptOutcome.Answered) {
+            stats.delivered++;
+            requests.remove(request.id());
+            actions.add(new RoutingAction.Deliver(request.id(), request.attempt));
+        } else if (outcome instanceof AttemptOutcome.Busy) {
+            retryNotRun(service, request, peer, BUSY);
+        } else if (outcome instanceof AttemptOutcome.Failed failed
+                && failed.failure().notRun()) {
+            retryNotRun(service, request, peer, failed.failure());
+        } else if (outcome instanceof AttemptOutcome.Failed failed) {
+            request.mayHaveRun = true;
+            if (peer != null) {
+                request.sends++;
+                request.forwards++;
+            }
+            retryBroken(service, request, failed.failure());
+        }
+    }
+
+    private void retryNotRun(ServiceState service, Request request, @Nullable String peer, Failure cause) {
+        if (request.callerGone) {
+            abandon(request);
+        } else if (peer != null) {
+            service.peers.refused(peer);
+            request.forwards++;
+            requeue(service, request);
+        } else if (mayRetry(service, request)) {
+            requeue(service, request);
+        } else {
+            long retryMs = admission.retryAfterMs(service, request.requestClass(), nowMs);
+            refuse(
+                    request,
+                    Refusals.attemptsExhausted(
+                            cause, isNotRun(request), Math.max(retryMs, OutcomeObserver.BUSY_PAUSE_MS)));
+        }
+    }
+
+    private void retryBroken(ServiceState service, Request request, Failure cause) {
+        boolean safe = request.arrival.idempotent() || !limits.has(Safeguard.SAFE_RETRY);
+        if (request.callerGone) {
+            abandon(request);
+        } else if (safe && nowMs < request.deadlineAtMs() && mayRetry(service, request)) {
+            requeue(service, request);
+        } else if (nowMs >= request.deadlineAtMs()) {
+            refuse(request, Refusals.deadlineWhileRunning(cause.peer()));
+        } else {
+            refuse(request, Refusals.outcomeUnknown(cause));
+        }
+    }
+
+    private boolean mayRetry(ServiceState service, Request request) {
+        if (request.arrival.acceptedAtMs() < drainAtMs && drainAtMs <= nowMs && isNotRun(request)) {
+            // Peers use the slots of a draining VM already, so "busy" must not end its last requests.
+            return true;
+        }
+        return request.sends < limits.routing().maxAttempts() && service.retryBudget.tryRetry();
+    }
+
+    private void requeue(ServiceState service, Request request) {
+        if (nowMs >= request.deadlineAtMs()) {
+            expireQueued(service, request);
+            return;
+        }
+        stats.retries++;
+        request.phase = Phase.QUEUED;
+        service.queue.addFirst(request);
+    }
+
+    private void callerGone(long requestId) {
+        Request request = requests.get(requestId);
+        if (request == null || !limits.has(Safeguard.CALLER_GONE)) {
+            return;
+        }
+        request.callerGone = true;
+        if (request.phase == Phase.QUEUED) {
+            ServiceState service = services.get(request.arrival.service());
+            service.queue.remove(request);
+            abandon(request);
+        }
+    }
+
+    private void viewChanged(MembershipView view) {
+        ready = true;
+        services.update(view, nowMs);
+        services.all().forEach(this::dispatch);
+    }
+
+    private void probed(RoutingEvent.ProbeCompleted probe) {
+        for (ServiceState service : services.all()) {
+            EndpointState executor = service.executor(probe.endpointId());
+            if (executor == null) {
+                continue;
+            }
+            executor.probing = false;
+            switch (probe.result()) {
+                case LIVE -> executor.sawLiveProbe(probe.sentAtMs());
+                case LEAVING -> observer.signal(executor, true, nowMs);
+                case MISSED -> executor.missedProbes++;
+            }
+            dispatch(service);
+        }
+    }
+
+    private void tick() {
+        expire();
+        for (ServiceState service : services.all()) {
+            for (EndpointState executor : service.executors()) {
+                probe(executor);
+            }
+            dispatch(service);
+        }
+    }
+
+    private void probe(EndpointState executor) {
+        if (executor.probing || !executor.listed || executor.assignedSlots == 0 || nowMs < executor.nextProbeAtMs) {
+            return;
+        }
+        long probeMs = limits.routing().probeMs();
+        executor.probing = true;
+        executor.nextProbeAtMs = nowMs + probeMs;
+        Endpoint to = executor.endpoint;
+        actions.add(new RoutingAction.Probe(to.id(), to.host(), to.port(), nowMs, nowMs + probeMs));
+    }
+
+    private void expire() {
+        while (!deadlines.isEmpty() && deadlines.peek().deadlineAtMs() <= nowMs) {
+            Request request = deadlines.remove();
+            if (requests.get(request.id()) != request) {
+                continue;
+            }
+            if (request.phase == Phase.QUEUED) {
+                ServiceState service = services.get(request.arrival.service());
+                service.queue.remove(request);
+                expireQueued(service, request);
+            } else if (request.phase == Phase.RUNNING) {
+                refuse(request, Refusals.deadlineWhileRunning(""));
+            }
+        }
+    }
+
+    private void expireQueued(ServiceState service, Request request) {
+        long retryMs = admission.retryAfterMs(service, request.requestClass(), nowMs);
+        refuse(request, Refusals.deadlineInQueue(isNotRun(request), retryMs));
+    }
+
+    private void drain() {
+        drainAtMs = nowMs;
+        if (limits.has(Safeguard.DRAIN_WAIT)) {
+            return;
+        }
+        for (Request request : List.copyOf(requests.values())) {
+            services.get(request.arrival.service()).queue.remove(request);
+            if (request.phase != Phase.ANSWERED) {
+                refuse(request, withHistory(request, Refusals.shuttingDown()));
+            }
+        }
+    }
+
+    /** Ends the request; while an attempt is open it is kept, because the attempt holds a slot. */
+    private void refuse(Request request, Failure failure) {
+        stats.refused(failure.notRun());
+        actions.add(new RoutingAction.Refuse(request.id(), failure));
+        if (request.phase == Phase.RUNNING && (request.executor != null || request.peer != null)) {
+            request.phase = Phase.ANSWERED;
+        } else {
+            requests.remove(request.id());
+        }
+    }
+
+    private void abandon(Request request) {
+        stats.abandoned++;
+        requests.remove(request.id());
+        actions.add(new RoutingAction.Abandon(request.id(), !isNotRun(request)));
+    }
+
+    private boolean isNotRun(Request request) {
+        return !request.mayHaveRun || !limits.has(Safeguard.NOT_RUN_TRACKING);
+    }
+
+    private Failure withHistory(Request request, Failure failure) {
+        boolean notRun = isNotRun(request) && (request.executor == null && request.peer == null);
+        return new Failure(
+                failure.code(), failure.step(), failure.peer(), failure.message(), notRun, failure.retryAfterMs());
+    }
+}
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/routing/RoutingLimits.java
@@ -0,0 +1,60 @@
+package io.radishspindle.routing;
+
+import io.radishspindle.settings.EntrySettings;
+import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Limits of a {@link RoutingCore}. Immutable and thread-safe.
+ *
+ * @param regions region of each data centre
+ * @param safeguards mechanisms in force
+ */
+public record RoutingLimits(EntrySettings.Routing routing, Map<String, String> regions, Set<Safeguard> safeguards) {
+    /** Time between ticks, in milliseconds; bounds how late a passed deadline is noticed. */
+    public static final long TICK_MS = 10;
+    /** Largest body that is forwarded to another region, in bytes. */
+    static final int MAX_REMOTE_BODY_BYTES = 64 * 1024;
+    /** Largest body that is forwarded at all, in bytes; leaves room for headers in a frame of 1 MiB. */
+    static final int MAX_FORWARD_BODY_BYTES = 900 * 1024;
+    /** Forwards of one request that a peer refused as not run, after which it waits at this VM. */
+    static final int MAX_FORWARDS = 2;
+    /** The same for a VM that has no slot of the service, where waiting is pointless. */
+    static final int MAX_FORWARDS_WITHOUT_SLOTS = 20;
+
+    public RoutingLimits {
+        regions = Map.copyOf(regions);
+        safeguards = Set.copyOf(safeguards);
+    }
+
+    /** The limits of a VM, with all mechanisms in force. */
+    public static RoutingLimits of(EntrySettings settings) {
+        Map<String, String> regions = new HashMap<>();
+        for (String entry : settings.peers().regions()) {
+            int colon = entry.indexOf(':');
+            if (colon > 0) {
+                regions.put(entry.substring(0, colon), entry.substring(colon + 1));
+            }
+        }
+        return new RoutingLimits(settings.routing(), regions, EnumSet.allOf(Safeguard.class));
+    }
+
+    /** The same limits without one mechanism. */
+    public RoutingLimits without(Safeguard safeguard) {
+        Set<Safeguard> others = EnumSet.allOf(Safeguard.class);
+        others.retainAll(safeguards);
+        others.remove(safeguard);
+        return new RoutingLimits(routing, regions, others);
+    }
+
+    boolean has(Safeguard safeguard) {
+        return safeguards.contains(safeguard);
+    }
+
+    /** Region of a data centre; a data centre without one is a region of its own. */
+    String regionOf(String dataCentre) {
+        return regions.getOrDefault(dataCentre, dataCentre);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/routing/ServiceState.java
@@ -0,0 +1,155 @@
+package io.radishspindle.routing;
+
+import io.radishspindle.membership.MembershipView;
+import io.radishspindle.membership.MembershipView.Endpoint;
+import io.radishspindle.membership.ServiceLoad;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.jspecify.annotations.Nullable;
+
+/** Executors, peers and queue of one service. Belongs to one {@link RoutingCore}; not thread-safe. */
+final class ServiceState {
+    /** How long requests may wait for any usable executor before new ones are refused, in milliseconds. */
+    private static final long NOTHING_USABLE_MS = 2_000;
+
+    final String name;
+    final CallerCosts costs = new CallerCosts();
+    final RequestQueue queue;
+    final RetryBudget retryBudget;
+    final OutlierDetector outliers;
+    final PeerTable peers;
+    private final RoutingLimits limits;
+    private final UniformRandomProvider random;
+    private final Map<String, EndpointState> executors = new TreeMap<>();
+    private boolean known;
+    private long usableAtMs = Long.MIN_VALUE;
+
+    ServiceState(String name, RoutingLimits limits, UniformRandomProvider random) {
+        this.name = name;
+        this.limits = limits;
+        this.random = random;
+        queue = new RequestQueue(costs, limits);
+        retryBudget = new RetryBudget(limits);
+        outliers = new OutlierDetector(executors.values(), limits);
+        peers = new PeerTable(limits, random);
+    }
+
+    /** Takes over a view; {@code endpoints} are those of this service in all data centres. */
+    void update(MembershipView view, List<Endpoint> endpoints, SlotTable slots, long nowMs) {
+        known = !endpoints.isEmpty();
+        executors.values().forEach(e -> e.listed = false);
+        for (Endpoint endpoint : endpoints) {
+            if (endpoint.dataCentre().equals(view.self().dataCentre())) {
+                updateExecutor(endpoint, slots, view.self().id(), nowMs);
+            }
+        }
+        executors.values().removeIf(e -> !e.listed && e.inUse == 0);
+        peers.update(view, endpoints, slots, name);
+    }
+
+    private void updateExecutor(Endpoint endpoint, SlotTable slots, String self, long nowMs) {
+        EndpointState state = executors.get(endpoint.id());
+        if (state == null) {
+            state = new EndpointState(endpoint);
+            state.nextProbeAtMs =
+                    nowMs + random.nextLong(Math.max(1, limits.routing().probeMs()));
+            executors.put(endpoint.id(), state);
+        }
+        state.endpoint = endpoint;
+        state.listed = true;
+        boolean split = limits.has(Safeguard.SLOT_SPLIT);
+        state.assignedSlots = split ? slots.slots(endpoint, self) : endpoint.slots();
+        state.connectionShare = split ? slots.connectionShare(endpoint) : endpoint.connections();
+    }
+
+    Iterable<EndpointState> executors() {
+        return executors.values();
+    }
+
+    @Nullable
+    EndpointState executor(String id) {
+        return executors.get(id);
+    }
+
+    boolean isKnown() {
+        return known;
+    }
+
+    int capacity(long nowMs) {
+        int sum = 0;
+        for (EndpointState executor : executors.values()) {
+            sum += executor.capacity(nowMs);
+        }
+        return sum;
+    }
+
+    /** True if neither this VM nor a peer has had a slot for a while. */
+    boolean isUnusable(long nowMs) {
+        if (usableAtMs == Long.MIN_VALUE || capacity(nowMs) > 0 || peers.hasSlots()) {
+            usableAtMs = nowMs;
+        }
+        return nowMs - usableAtMs > NOTHING_USABLE_MS;
+    }
+
+    ServiceLoad load(long nowMs) {
+        int free = 0;
+        for (EndpointState executor : executors.values()) {
+            free += executor.freeSlots(nowMs);
+        }
+        return new ServiceLoad(name, free, queue.size());
+    }
+
+    /** The executor with the lowest share of used slots, one that the request has not tried if possible. */
+    @Nullable
+    EndpointState pick(Request request, long nowMs) {
+        List<EndpointState> best = new ArrayList<>();
+        double bestScore = Double.POSITIVE_INFINITY;
+        for (EndpointState executor : executors.values()) {
+            if (executor.freeSlots(nowMs) == 0) {
+                continue;
+            }
+            double score = (double) executor.inUse / executor.capacity(nowMs);
+            if (request.triedEndpoints.contains(executor.id())) {
+                score += 1;
+            }
+            if (score < bestScore) {
+                best.clear();
+                bestScore = score;
+            }
+            if (score == bestScore) {
+                best.add(executor);
+            }
+        }
+        return best.isEmpty() ? null : best.get(random.nextInt(best.size()));
+    }
+
+    @Nullable
+    String forwardTarget(Request request, long nowMs) {
+        boolean mayHop = request.arrival.hops() == 0 || !limits.has(Safeguard.HOP_LIMIT);
+        int slots = capacity(nowMs);
+        int maxForwards = slots == 0 ? RoutingLimits.MAX_FORWARDS_WITHOUT_SLOTS : RoutingLimits.MAX_FORWARDS;
+        if (!mayHop || request.forwards >= maxForwards) {
+            return null;
+        }
+        double backlog = slots == 0 ? Double.POSITIVE_INFINITY : (double) queue.size() / slots;
+        double waitMs = slots == 0 ? Double.POSITIVE_INFINITY : backlog * costs.meanMs();
+        return peers.select(request, waitMs, backlog);
+    }
+
+    /** Expected wait of a new request in milliseconds; 0 if it can be sent at once or nothing is known. */
+    double expectedWaitMs(RequestClass requestClass, String caller, long nowMs) {
+        int slots = capacity(nowMs);
+        if (slots == 0 || (queue.size() == 0 && load(nowMs).freeSlots() > 0)) {
+            return 0;
+        }
+        return (queue.servedBefore(requestClass, caller) + 1) * costs.meanMs() / slots;
+    }
+
+    /** Time in which the slots of this VM serve so many requests, in milliseconds. */
+    double timeToServeMs(int requests, long nowMs) {
+        return requests * costs.meanMs() / Math.max(1, capacity(nowMs));
+    }
+}
--- /dev/null
+++ b/library/src/test/java/io/radishspindle/routing/RoutingFixture.java
@@ -0,0 +1,166 @@
+package io.radishspindle.routing;
+
+import com.codahale.metrics.MetricRegistry;
+import io.radishspindle.error.ErrorCode;
+import io.radishspindle.error.Failure;
+import io.radishspindle.idempotency.KeyedRequests;
+import io.radishspindle.membership.MembershipView.Endpoint;
+import io.radishspindle.membership.MembershipView.EntryVm;
+import io.radishspindle.platform.SystemClock;
+import io.radishspindle.settings.EntrySettings;
+import io.vavr.control.Either;
+import io.vertx.core.Future;
+import io.vertx.core.Handler;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetSocket;
+import io.vertx.ext.web.Router;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+/** One entry VM with executors and callers on loopback sockets. */
+final class RoutingFixture implements AutoCloseable {
+    /** Bound of every wait; a test that reaches it has failed. */
+    static final long WAIT_MS = 10_000;
+
+    /** An answer as a caller sees it. */
+    record Answer(int status, io.vertx.core.MultiMap headers, Buffer body) {
+        boolean notRun() {
+            return body.toJsonObject().getBoolean("notRun");
+        }
+
+        String code() {
+            return body.toJsonObject().getString("code");
+        }
+    }
+
+    final Vertx vertx = Vertx.vertx();
+    final LoopbackPeers peers = new LoopbackPeers();
+    private final List<Endpoint> endpoints = new ArrayList<>();
+    private final HttpClient callers = vertx.createHttpClient();
+    private RequestService service;
+    int port;
+
+    /** Refuses keyed requests, as a VM without a store does. */
+    static KeyedRequests noStore() {
+        Failure failure = Failure.retryable(ErrorCode.STORE_UNAVAILABLE, "store.put", "store", "down", 1_000);
+        return new KeyedRequests() {
+            @Override
+            public Future<Either<Failure, Begun>> begin(KeyedRequest request, long deadlineAtMs) {
+                return Future.succeededFuture(Either.left(failure));
+            }
+
+            @Override
+            public Future<Either<Failure, Void>> complete(Claim claim, StoredAnswer answer) {
+                return Future.succeededFuture(Either.left(failure));
+            }
+
+            @Override
+            public Future<Either<Failure, Void>> release(Claim claim) {
+                return Future.succeededFuture(Either.left(failure));
+            }
+        };
+    }
+
+    /** Adds an executor that speaks HTTP; probes are answered for it. */
+    RoutingFixture executor(int slots, Handler<HttpServerRequest> handler) {
+        HttpServer server = await(vertx.createHttpServer()
+                .requestHandler(request -> {
+                    if (request.path().equals("/health")) {
+                        request.response().end();
+                    } else {
+                        handler.handle(request);
+                    }
+                })
+                .listen(0, "127.0.0.1"));
+        return endpoint(slots, server.actualPort());
+    }
+
+    /** Adds an executor that speaks whatever it likes. */
+    RoutingFixture rawExecutor(int slots, Handler<NetSocket> handler) {
+        NetServer server = await(vertx.createNetServer().connectHandler(handler).listen(0, "127.0.0.1"));
+        return endpoint(slots, server.actualPort());
+    }
+
+    RoutingFixture endpoint(int slots, int executorPort) {
+        endpoints.add(Routings.endpoint("e" + endpoints.size(), "dc1", executorPort, slots));
+        return this;
+    }
+
+    RoutingFixture start() {
+        return start(Routings.routing(), noStore());
+    }
+
+    RoutingFixture start(EntrySettings.Routing routing, KeyedRequests keyed) {
+        service = new RequestService(
+                vertx,
+                new SystemClock(),
+                new LoopbackExecutorClient(vertx),
+                peers.messenger("vm1"),
+                keyed,
+                Routings.settings("vm1", routing),
+                new MetricRegistry());
+        service.start();
+        EntryVm self = Routings.vm("vm1", "dc1");
+        service.update(Routings.view(self, List.of(self), endpoints));
+        Router router = Router.router(vertx);
+        router.route("/services/:service/*").handler(service.handler());
+        HttpServer server =
+                await(vertx.createHttpServer().requestHandler(router).listen(0, "127.0.0.1"));
+        port = server.actualPort();
+        until(() -> !service.loads().isEmpty() || endpoints.isEmpty());
+        return this;
+    }
+
+    RequestService service() {
+        return service;
+    }
+
+    Answer call(HttpMethod method, String path, Map<String, String> headers, String body) {
+        return await(send(method, path, headers, body));
+    }
+
+    Future<Answer> send(HttpMethod method, String path, Map<String, String> headers, String body) {
+        return callers.request(method, port, "127.0.0.1", path).compose(request -> {
+            headers.forEach(request::putHeader);
+            return request.send(Buffer.buffer(body)).compose(RoutingFixture::whole);
+        });
+    }
+
+    private static Future<Answer> whole(HttpClientResponse response) {
+        return response.body().map(body -> new Answer(response.statusCode(), response.headers(), body));
+    }
+
+    static <T> T await(Future<T> future) {
+        try {
+            return future.toCompletionStage().toCompletableFuture().get(WAIT_MS, TimeUnit.MILLISECONDS);
+        } catch (Exception e) {
+            throw new AssertionError("no result within " + WAIT_MS + " ms", e);
+        }
+    }
+
+    static void until(BooleanSupplier condition) {
+        long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT_MS);
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > endNs) {
+                throw new AssertionError("condition not met within " + WAIT_MS + " ms");
+            }
+            Thread.onSpinWait();
+        }
+    }
+
+    @Override
+    public void close() {
+        service.close();
+        await(vertx.close());
+    }
+}
