--- /dev/null
+++ b/library/src/main/java/io/radishspindle/platform/http/HttpCaller.java
@@ -0,0 +1,155 @@
+package io.radishspindle.platform.http;
+
+import io.vavr.control.Either;
+import io.vertx.core.AsyncResult;
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.MultiMap;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpHeaders;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Sends HTTP/1.1 requests over pooled keep-alive connections and tells exactly whether a failed request may have
+ * reached the peer. Thread-safe.
+ *
+ * <p>Invariants: the returned futures never fail. A connection carries one request at a time. A connection whose
+ * request is given up is closed, so that a late answer can't reach another request. Nothing is retried.
+ */
+final class HttpCaller {
+    private static final int CONNECT_TIMEOUT_MS = 2_000;
+
+    /** Shorter than the idle timeout of common servers, so that a request rarely meets a connection being closed. */
+    private static final int KEEP_ALIVE_S = 10;
+
+    private static final int MAX_HEADER_BYTES = 32 * 1024;
+
+    /** A complete answer. */
+    record Reply(int status, MultiMap headers, Buffer body) {}
+
+    /**
+     * An exchange without a complete answer.
+     *
+     * @param sent whether a byte of the request may have been sent
+     */
+    record Broken(boolean sent, String reason) {}
+
+    private final Vertx vertx;
+    private final HttpClient client;
+    private final int maxBodyBytes;
+
+    HttpCaller(Vertx vertx, int connectionsPerPeer, int maxBodyBytes) {
+        HttpClientOptions options = new HttpClientOptions()
+                .setConnectTimeout(CONNECT_TIMEOUT_MS)
+                .setKeepAlive(true)
+                .setKeepAliveTimeout(KEEP_ALIVE_S)
+                .setPipelining(false)
+                .setMaxHeaderSize(MAX_HEADER_BYTES);
+        this.vertx = vertx;
+        this.client = vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(connectionsPerPeer));
+        this.maxBodyBytes = maxBodyBytes;
+    }
+
+    /** Sends a request; {@code timeoutMs} covers everything up to the last byte of the answer. */
+    Future<Either<Broken, Reply>> call(RequestOptions options, @Nullable Buffer body, long timeoutMs) {
+        Exchange exchange = new Exchange(body);
+        Context context = Vertx.currentContext();
+        if (context == null) {
+            vertx.getOrCreateContext().runOnContext(v -> exchange.start(options, timeoutMs));
+        } else {
+            exchange.start(options, timeoutMs);
+        }
+        return exchange.result.future();
+    }
+
+    /** One request and its answer; belongs to the context on which it starts. */
+    private final class Exchange {
+        private final Promise<Either<Broken, Reply>> result = Promise.promise();
+        private final Buffer received = Buffer.buffer();
+        private final @Nullable Buffer body;
+        private @Nullable HttpClientRequest request;
+        private boolean sent;
+        private boolean done;
+        private long timerId;
+
+        Exchange(@Nullable Buffer body) {
+            this.body = body;
+        }
+
+        void start(RequestOptions options, long timeoutMs) {
+            timerId = vertx.setTimer(Math.max(1, timeoutMs), id -> abort("no complete answer in " + timeoutMs + " ms"));
+            client.request(options).onComplete(this::onConnected);
+        }
+
+        private void onConnected(AsyncResult<HttpClientRequest> connected) {
+            if (connected.failed()) {
+                finish(Either.left(new Broken(false, describe(connected.cause()))));
+                return;
+            }
+            request = connected.result();
+            if (done) {
+                request.reset();
+                return;
+            }
+            sent = true;
+            Future<HttpClientResponse> response = body == null ? request.send() : request.send(body);
+            response.onComplete(this::onResponse);
+        }
+
+        private void onResponse(AsyncResult<HttpClientResponse> answered) {
+            if (answered.failed()) {
+                finish(Either.left(new Broken(true, describe(answered.cause()))));
+                return;
+            }
+            HttpClientResponse response = answered.result();
+            response.exceptionHandler(e -> abort("answer ended early: " + describe(e)));
+            response.handler(this::append);
+            response.endHandler(v -> finish(Either.right(reply(response))));
+        }
+
+        private void append(Buffer chunk) {
+            if (done) {
+                return;
+            }
+            if (received.length() + chunk.length() > maxBodyBytes) {
+                abort("answer exceeds " + maxBodyBytes + " bytes");
+                return;
+            }
+            received.appendBuffer(chunk);
+        }
+
+        private Reply reply(HttpClientResponse response) {
+            MultiMap headers = HttpHeaders.headers().addAll(response.headers());
+            return new Reply(response.statusCode(), headers, received);
+        }
+
+        private void abort(String reason) {
+            finish(Either.left(new Broken(sent, reason)));
+            if (request != null) {
+                request.reset();
+            }
+        }
+
+        private void finish(Either<Broken, Reply> outcome) {
+            if (done) {
+                return;
+            }
+            done = true;
+            vertx.cancelTimer(timerId);
+            result.complete(outcome);
+        }
+    }
+
+    private static String describe(Throwable cause) {
+        String message = cause.getMessage();
+        return message == null ? cause.getClass().getSimpleName() : message;
+    }
+}
