--- /dev/null
+++ b/library/src/main/java/io/radishspindle/protocol/PeerCodec.java
@@ -0,0 +1,110 @@
+package io.radishspindle.protocol;
+
+import com.fasterxml.jackson.annotation.JsonAutoDetect;
+import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.annotation.PropertyAccessor;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.introspect.Annotated;
+import com.fasterxml.jackson.databind.introspect.JacksonAnnotationIntrospector;
+import io.vertx.core.buffer.Buffer;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.HashMap;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+
+/**
+ * Encodes frames and messages as MessagePack with records as arrays. Fields are only ever added at the end of a
+ * record: an older reader skips them, and a newer reader gets null or zero. Thread-safe.
+ */
+public final class PeerCodec {
+    /** Largest frame after the handshake, without the length prefix. */
+    static final int MAX_FRAME_BYTES = 1024 * 1024;
+
+    /** Largest frame of the handshake, so that an unknown peer can't make a VM buffer much. */
+    static final int MAX_HANDSHAKE_BYTES = 4096;
+
+    static final int LENGTH_BYTES = 4;
+
+    private static final ObjectMapper MAPPER = new ObjectMapper(new MessagePackFactory())
+            .setAnnotationIntrospector(new RecordsAsArrays())
+            .setVisibility(PropertyAccessor.GETTER, JsonAutoDetect.Visibility.NONE)
+            .setVisibility(PropertyAccessor.IS_GETTER, JsonAutoDetect.Visibility.NONE)
+            .setVisibility(PropertyAccessor.FIELD, JsonAutoDetect.Visibility.ANY)
+            .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+    private static final Map<Class<?>, Integer> CODES = codes();
+
+    private PeerCodec() {}
+
+    /** Type code of a message; throws {@link IllegalArgumentException} for a type that {@link MessageTypes} lacks. */
+    static int code(Class<? extends PeerMessage> type) {
+        Integer code = CODES.get(type);
+        if (code == null) {
+            throw new IllegalArgumentException(type + " is not listed in MessageTypes");
+        }
+        return code;
+    }
+
+    /** A message as it appears on the wire: length prefix, frame, envelope and message. */
+    static Buffer encodeMessage(long id, PeerMessage message) {
+        return encodeFrame(code(message.getClass()), new Frame.Envelope(id, encode(message)));
+    }
+
+    static Buffer encodeFrame(int type, Object body) {
+        byte[] frame = encode(new Frame(Frame.VERSION, type, encode(body)));
+        return Buffer.buffer(LENGTH_BYTES + frame.length)
+                .appendInt(frame.length)
+                .appendBytes(frame);
+    }
+
+    /** Bytes that a message takes on a connection, TCP and IP headers excluded. */
+    public static int encodedSize(PeerMessage message) {
+        return encodeMessage(0, message).length();
+    }
+
+    static byte[] encode(Object value) {
+        try {
+            return MAPPER.writeValueAsBytes(value);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Decodes a value; throws {@link ProtocolException} if the bytes are not one. */
+    static <T> T decode(byte[] bytes, Class<T> type) {
+        try {
+            @Nullable T value = MAPPER.readValue(bytes, type);
+            if (value == null) {
+                throw new ProtocolException("empty " + type.getSimpleName());
+            }
+            return value;
+        } catch (IOException | IllegalArgumentException e) {
+            throw new ProtocolException("not a valid " + type.getSimpleName() + ": " + firstLine(e), e);
+        }
+    }
+
+    private static String firstLine(Exception e) {
+        return String.valueOf(e.getMessage()).lines().findFirst().orElse("");
+    }
+
+    private static Map<Class<?>, Integer> codes() {
+        Map<Class<?>, Integer> codes = new HashMap<>();
+        MessageTypes.BY_CODE.forEach((code, type) -> codes.put(type, code));
+        return Map.copyOf(codes);
+    }
+
+    /** Writes every record as an array, which needs no names on the wire. Stateless. */
+    private static final class RecordsAsArrays extends JacksonAnnotationIntrospector {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        public JsonFormat.@Nullable Value findFormat(Annotated annotated) {
+            if (annotated.getRawType().isRecord()) {
+                return JsonFormat.Value.forShape(JsonFormat.Shape.ARRAY);
+            }
+            return super.findFormat(annotated);
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/protocol/PeerListener.java
@@ -0,0 +1,170 @@
+package io.radishspindle.protocol;
+
+import io.radishspindle.error.ErrorCode;
+import io.radishspindle.error.Failure;
+import io.radishspindle.platform.Clock;
+import io.radishspindle.protocol.Frame.Envelope;
+import io.vavr.control.Either;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetSocket;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.tinylog.Logger;
+
+/**
+ * The incoming side: connections that other VMs opened, and the handlers of their messages. Belongs to the messenger's
+ * event loop.
+ *
+ * <p>Invariants: at most one authenticated connection per VM; at most {@link #MAX_UNAUTHENTICATED} others.
+ */
+final class PeerListener implements PeerConnection.Listener {
+    /**
+     * A genuine handshake takes milliseconds, so the oldest unfinished one makes room for a new connection. Otherwise
+     * connections that stay silent could keep peers out.
+     */
+    static final int MAX_UNAUTHENTICATED = 64;
+    /** Far above the two-year size of 28 entry VMs. */
+    static final int MAX_AUTHENTICATED = 512;
+    /** Requests of one connection that are being handled; further ones are refused. */
+    static final int MAX_IN_PROGRESS = 2 * PeerLink.MAX_OUTSTANDING;
+
+    private final Vertx vertx;
+    private final Clock clock;
+    private final String localVm;
+    private final PeerAuthenticator authenticator;
+    private final Map<Integer, PeerMessenger.Handler<? extends PeerMessage>> handlers = new HashMap<>();
+    private final Set<PeerConnection> unauthenticated = new LinkedHashSet<>();
+    private final Map<String, PeerConnection> byVm = new HashMap<>();
+    private final Map<PeerConnection, Integer> inProgress = new HashMap<>();
+
+    PeerListener(Vertx vertx, Clock clock, String localVm, PeerAuthenticator authenticator) {
+        this.vertx = vertx;
+        this.clock = clock;
+        this.localVm = localVm;
+        this.authenticator = authenticator;
+    }
+
+    <T extends PeerMessage> void register(Class<T> type, PeerMessenger.Handler<T> handler) {
+        if (handlers.putIfAbsent(PeerCodec.code(type), handler) != null) {
+            throw new IllegalStateException("a handler for " + type.getSimpleName() + " is already registered");
+        }
+    }
+
+    void accept(NetSocket socket) {
+        if (unauthenticated.size() >= MAX_UNAUTHENTICATED) {
+            unauthenticated.iterator().next().close("too many connections without a completed handshake");
+        }
+        unauthenticated.add(new PeerConnection(vertx, clock, socket, authenticator, localVm, "", this));
+    }
+
+    void close() {
+        for (PeerConnection connection : List.copyOf(unauthenticated)) {
+            connection.close("VM is shutting down");
+        }
+        for (PeerConnection connection : List.copyOf(byVm.values())) {
+            connection.close("VM is shutting down");
+        }
+    }
+
+    @Override
+    public void onReady(PeerConnection connection) {
+        unauthenticated.remove(connection);
+        PeerConnection previous = byVm.get(connection.remoteVm());
+        if (previous == null && byVm.size() >= MAX_AUTHENTICATED) {
+            connection.refuse(ErrorCode.OVERLOADED, "VM has " + MAX_AUTHENTICATED + " peers, which is its limit");
+            return;
+        }
+        byVm.put(connection.remoteVm(), connection);
+        if (previous != null) {
+            previous.close("replaced by a newer connection of the same VM");
+        }
+    }
+
+    @Override
+    public void onClosed(PeerConnection connection, String reason) {
+        if (unauthenticated.remove(connection)) {
+            Logger.warn("event=peer_rejected address={} reason=\"{}\"", connection.address(), reason);
+        }
+        byVm.remove(connection.remoteVm(), connection);
+        inProgress.remove(connection);
+    }
+
+    @Override
+    public void onMessage(PeerConnection from, int type, Envelope envelope) {
+        if (envelope.id() < 0) {
+            throw new ProtocolException("answer on a connection that carries only requests");
+        }
+        long id = envelope.id();
+        Class<? extends PeerMessage> messageType = MessageTypes.BY_CODE.get(type);
+        if (messageType == null) {
+            reply(from, id, refused("message type " + type + " is unknown to this VM"));
+            return;
+        }
+        PeerMessage message = PeerCodec.decode(envelope.message(), messageType);
+        PeerMessenger.Handler<? extends PeerMessage> handler = handlers.get(type);
+        if (handler == null) {
+            reply(from, id, refused("this VM does not handle " + messageType.getSimpleName()));
+            return;
+        }
+        int running = inProgress.merge(from, 1, Integer::sum);
+        if (running > MAX_IN_PROGRESS) {
+            inProgress.merge(from, -1, Integer::sum);
+            String reason = MAX_IN_PROGRESS + " requests of this peer are in progress";
+            reply(from, id, Either.left(Failure.retryable(ErrorCode.OVERLOADED, "peer.handle", localVm, reason, 100)));
+            return;
+        }
+        call(handler, from.remoteVm(), message).onComplete(result -> {
+            inProgress.computeIfPresent(from, (connection, count) -> count - 1);
+            reply(from, id, result.succeeded() ? result.result() : Either.left(crashed(result.cause())));
+        });
+    }
+
+    @SuppressWarnings("unchecked")
+    private Future<Either<Failure, PeerMessage>> call(
+            PeerMessenger.Handler<? extends PeerMessage> handler, String fromVm, PeerMessage message) {
+        try {
+            // register() ties the handler to the code of its message type.
+            return ((PeerMessenger.Handler<PeerMessage>) handler).handle(fromVm, message);
+        } catch (RuntimeException e) {
+            return Future.succeededFuture(Either.left(crashed(e)));
+        }
+    }
+
+    private Failure crashed(@Nullable Throwable e) {
+        Logger.error(e, "event=handler_failed");
+        return new Failure(ErrorCode.INTERNAL, "peer.handle", localVm, "handler failed: " + e, false, 0);
+    }
+
+    private Either<Failure, PeerMessage> refused(String reason) {
+        return Either.left(new Failure(ErrorCode.PROTOCOL_ERROR, "peer.handle", localVm, reason, true, 0));
+    }
+
+    private void reply(PeerConnection to, long id, Either<Failure, PeerMessage> result) {
+        if (id == 0) {
+            return;
+        }
+        Buffer frame = result.fold(failure -> failed(id, failure), message -> PeerCodec.encodeMessage(-id, message));
+        if (frame.length() > PeerCodec.MAX_FRAME_BYTES + PeerCodec.LENGTH_BYTES) {
+            String reason = "answer of " + frame.length() + " bytes is too large for a frame";
+            frame = failed(id, new Failure(ErrorCode.INTERNAL, "peer.handle", localVm, reason, false, 0));
+        }
+        if (!to.write(frame)) {
+            to.close("peer reads its answers too slowly");
+        }
+    }
+
+    private static Buffer failed(long id, Failure failure) {
+        byte[] message = PeerCodec.encode(new Frame.Refusal(failure));
+        return PeerCodec.encodeFrame(Frame.FAILED, new Envelope(-id, message));
+    }
+
+    int connections() {
+        return unauthenticated.size() + byVm.size();
+    }
+}
