--- a/library/src/main/java/io/radishspindle/protocol/MessageTypes.java
+++ b/library/src/main/java/io/radishspindle/protocol/MessageTypes.java
@@ -11,6 +11,7 @@
 import io.radishspindle.protocol.message.ListJobs;
 import io.radishspindle.protocol.message.ListJobsReply;
 import io.radishspindle.protocol.message.QueryJob;
+import io.radishspindle.protocol.message.RelayDigest;
 import io.radishspindle.protocol.message.SubmitJob;
 import java.util.Map;
 
@@ -28,7 +29,8 @@
             Map.entry(9, ListJobsReply.class),
             Map.entry(10, ForwardRequest.class),
             Map.entry(11, ForwardResponse.class),
-            Map.entry(12, Done.class));
+            Map.entry(12, Done.class),
+            Map.entry(13, RelayDigest.class));
 
     private MessageTypes() {}
 }
--- a/library/src/main/java/io/radishspindle/settings/EntrySettingsLoader.java
+++ b/library/src/main/java/io/radishspindle/settings/EntrySettingsLoader.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.TreeSet;
 import org.apache.commons.configuration2.INIConfiguration;
 import org.apache.commons.configuration2.SubnodeConfiguration;
@@ -81,8 +82,8 @@
         }
     }
 
-    private static TreeSet<String> keyNames(SubnodeConfiguration keys) {
-        TreeSet<String> names = new TreeSet<>();
+    private static Set<String> keyNames(SubnodeConfiguration keys) {
+        Set<String> names = new TreeSet<>();
         keys.getKeys().forEachRemaining(names::add);
         return names;
     }
