Submit a job with an Idempotency-Key at most once; services run until stopped

Cause: the first run as processes showed a service that ended after its declared run time, statuses without a group, and a repeated submission with the same key that would have been accepted twice.

Change: a service is started with run time 0; the job id gives the group; keys of jobs go through the same record as keys of requests. Ruled out: keeping the whole answer in the store (bytes billed per repeat).

--- a/library/src/main/java/io/radishspindle/entry/EntryVm.java
+++ b/library/src/main/java/io/radishspindle/entry/EntryVm.java
@@ -88,16 +88,18 @@
                 new HttpWorkerClient(vertx),
                 settings,
                 seed -> new FairSharePlacement(seed, PlacementPolicy.DEFAULT));
+        var keyed = new StoreKeyedRequests(vertx, clock, store);
         requests = new RequestService(
                 vertx,
                 clock,
                 new HttpExecutorClient(vertx, settings.routing().maxBodyBytes()),
                 peers,
-                new StoreKeyedRequests(vertx, clock, store),
+                keyed,
                 settings,
                 metrics);
         jobRouter = new JobRouter(vmId, membership::view, groups, peers);
-        jobApi = new JobApi(vertx, clock, jobRouter, () -> UUID.randomUUID().toString());
+        jobApi = new JobApi(
+                vertx, clock, jobRouter, keyed, () -> UUID.randomUUID().toString());
         var options = new HttpServerOptions().setMaxHeaderSize(MAX_HEADER_BYTES).setIdleTimeout(CALLER_IDLE_SECONDS);
         callersServer = vertx.createHttpServer(options);
         operatorsServer = vertx.createHttpServer(options);
--- a/library/src/main/java/io/radishspindle/entry/job/JobApi.java
+++ b/library/src/main/java/io/radishspindle/entry/job/JobApi.java
@@ -5,9 +5,11 @@
 import io.radishspindle.entry.http.FailureResponse;
 import io.radishspindle.error.ErrorCode;
 import io.radishspindle.error.Failure;
+import io.radishspindle.idempotency.KeyedRequests;
 import io.radishspindle.model.JobStatus;
 import io.radishspindle.platform.Clock;
 import io.vavr.control.Either;
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
@@ -34,13 +36,15 @@
     private final Vertx vertx;
     private final Clock clock;
     private final JobRouter jobs;
+    private final KeyedSubmission keyed;
     private final Supplier<String> ids;
 
     /** @param ids source of suffixes that are unique within the cell */
-    public JobApi(Vertx vertx, Clock clock, JobRouter jobs, Supplier<String> ids) {
+    public JobApi(Vertx vertx, Clock clock, JobRouter jobs, KeyedRequests keyed, Supplier<String> ids) {
         this.vertx = vertx;
         this.clock = clock;
         this.jobs = jobs;
+        this.keyed = new KeyedSubmission(clock, keyed);
         this.ids = ids;
     }
 
@@ -67,7 +71,16 @@
             FailureResponse.write(context.response(), request.getLeft());
             return;
         }
-        jobs.submit(request.get()::toSpec, ids.get()).onSuccess(result -> answer(context, result, 202));
+        String caller = context.request().headers().get("Caller");
+        String key = context.request().getHeader("Idempotency-Key");
+        Future<Either<Failure, JobStatus>> submitted = key == null
+                ? jobs.submit(request.get()::toSpec, ids.get())
+                : keyed.submit(
+                        caller == null ? "" : caller,
+                        key,
+                        context.body().buffer(),
+                        suffix -> jobs.submit(request.get()::toSpec, suffix));
+        submitted.onSuccess(result -> answer(context, result, 202));
     }
 
     private void show(RoutingContext context) {
--- a/library/src/main/java/io/radishspindle/entry/job/JobRouter.java
+++ b/library/src/main/java/io/radishspindle/entry/job/JobRouter.java
@@ -152,7 +152,11 @@
         return Future.all(answers).map(all -> {
             List<JobStatus> jobs = new ArrayList<>();
             var silentVms = new TreeSet<String>();
-            answers.forEach(answer -> answer.result().peek(jobs::addAll).peekLeft(silentVms::add));
+            for (Future<Either<String, List<JobStatus>>> answer : answers) {
+                answer.result()
+                        .peek(found -> found.forEach(job -> jobs.add(withGroupOfId(job))))
+                        .peekLeft(silentVms::add);
+            }
             List<String> missing = owners.entrySet().stream()
                     .filter(e -> silentVms.contains(e.getValue().ownerVm()))
                     .map(e -> e.getKey())
@@ -162,6 +166,11 @@
         });
     }
 
+    /** The placement core of a group does not know the group's name; the job id does. */
+    private static JobStatus withGroupOfId(JobStatus job) {
+        return JobIds.groupOf(job.jobId()).map(job::withGroup).orElse(job);
+    }
+
     private Future<Either<String, List<JobStatus>>> listAt(String vm, int limit) {
         if (vm.equals(selfVm)) {
             return Future.succeededFuture(Either.right(groups.statuses(limit)));
@@ -181,10 +190,10 @@
             return Future.succeededFuture(Either.left(NoGroup.noOwner(step, group)));
         }
         if (owned.ownerVm().equals(selfVm)) {
-            return local.get();
+            return local.get().map(result -> result.map(status -> status.withGroup(group)));
         }
         return peers.request(owned.ownerVm(), remote, JobStatusReply.class, timeoutMs)
-                .map(result -> result.map(JobStatusReply::status));
+                .map(result -> result.map(reply -> reply.status().withGroup(group)));
     }
 
     private static Future<Either<Failure, PeerMessage>> reply(Future<Either<Failure, JobStatus>> status) {
--- a/library/src/main/java/io/radishspindle/model/JobStatus.java
+++ b/library/src/main/java/io/radishspindle/model/JobStatus.java
@@ -24,6 +24,24 @@
         long longestWaitMs,
         String explanation) {
 
+    /** The same status with another group. */
+    public JobStatus withGroup(String newGroup) {
+        return new JobStatus(
+                jobId,
+                newGroup,
+                team,
+                jobClass,
+                phase,
+                tasks,
+                waiting,
+                open,
+                running,
+                succeeded,
+                failed,
+                longestWaitMs,
+                explanation);
+    }
+
     /** Life cycle of a job. */
     public enum Phase {
         WAITING,
--- a/library/src/main/java/io/radishspindle/ownership/JobDesk.java
+++ b/library/src/main/java/io/radishspindle/ownership/JobDesk.java
@@ -2,6 +2,7 @@
 
 import io.radishspindle.error.ErrorCode;
 import io.radishspindle.error.Failure;
+import io.radishspindle.model.JobClass;
 import io.radishspindle.model.JobSpec;
 import io.radishspindle.model.JobStatus;
 import io.radishspindle.model.TaskAttempt;
@@ -274,13 +275,18 @@
                         new WorkerClient.Start(
                                 attempt,
                                 start.reserved(),
-                                job.get().spec.expectedRunMs(),
+                                runMs(job.get().spec),
                                 job.get().spec.parameters()));
         if (!sent) {
             feed(new PlacementEvent.StartRefused(attempt, start.workerId(), "worker takes no commands now"));
         }
     }
 
+    /** A service runs until it is stopped, which the worker's interface expresses as 0. */
+    private static long runMs(JobSpec spec) {
+        return spec.jobClass() == JobClass.SERVICE ? 0 : spec.expectedRunMs();
+    }
+
     private void recordAttempt(PlacementAction.RecordAttempt ended) {
         TaskAttempt attempt = ended.attempt();
         String jobId = attempt.task().jobId();
--- a/library/src/main/java/io/radishspindle/platform/WorkerClient.java
+++ b/library/src/main/java/io/radishspindle/platform/WorkerClient.java
@@ -27,7 +27,11 @@
         RENEW
     }
 
-    /** A start command. */
+    /**
+     * A start command.
+     *
+     * @param expectedRunMs declared run time in milliseconds; 0 for a task that runs until it is stopped
+     */
     record Start(TaskAttempt attempt, Resources resources, long expectedRunMs, Map<String, String> parameters) {}
 
     /** How a running task is changed. */
