--- a/library/src/main/java/io/radishspindle/ownership/Owner.java
+++ b/library/src/main/java/io/radishspindle/ownership/Owner.java
@@ -5,6 +5,7 @@
 import io.radishspindle.model.JobStatus;
 import io.radishspindle.model.Resources;
 import io.radishspindle.model.TaskAttempt;
+import io.radishspindle.model.TaskOutcome;
 import io.radishspindle.model.WorkerInfo;
 import io.radishspindle.placement.GroupPlacement;
 import io.radishspindle.placement.PlacementEvent;
@@ -324,11 +325,16 @@
     private void reportFinished(WorkerLink link, ControlReply reply) {
         for (WorkerClient.Finished finished : reply.finished()) {
             TaskAttempt attempt = finished.attempt();
-            if (!reported.add(attempt)) {
+            if (link.isAcknowledging(attempt)) {
                 continue;
             }
-            desk.feed(new PlacementEvent.TaskEnded(attempt, link.worker.id(), finished.outcome(), finished.detail()));
-            if (desk.isSettled(attempt)) {
+            if (reported.add(attempt)) {
+                desk.feed(
+                        new PlacementEvent.TaskEnded(attempt, link.worker.id(), finished.outcome(), finished.detail()));
+            }
+            boolean needsRecord =
+                    finished.outcome() == TaskOutcome.SUCCEEDED || finished.outcome() == TaskOutcome.FAILED;
+            if (!needsRecord || desk.isSettled(attempt)) {
                 acknowledge(link.worker.id(), attempt);
             }
         }
--- a/library/src/main/java/io/radishspindle/ownership/WorkerLink.java
+++ b/library/src/main/java/io/radishspindle/ownership/WorkerLink.java
@@ -113,6 +113,11 @@
         acknowledged.add(attempt);
     }
 
+    /** Whether the worker will be told with the next message that it may forget the attempt. */
+    boolean isAcknowledging(TaskAttempt attempt) {
+        return acknowledged.contains(attempt);
+    }
+
     void close() {
         closed = true;
     }
