--- a/library/src/main/java/io/radishspindle/ownership/GroupCore.java
+++ b/library/src/main/java/io/radishspindle/ownership/GroupCore.java
@@ -58,6 +58,8 @@
     private long nextChangeAtMs = Quorum.NEVER;
     private long unreadySinceMs = Quorum.NEVER;
     private long unreadyEpoch;
+    private long holdOffUntilMs = Quorum.NEVER;
+    private long holdOffMs;
     private long releaseByMs = Long.MAX_VALUE;
 
     GroupCore(
@@ -178,14 +180,25 @@
     }
 
     @Override
-    public void ended(Owner ending, String reason) {
+    public void ended(Owner ending, Owner.End end) {
         if (owner == ending) {
             owner = null;
             changing = false;
             nextReadAtMs = Quorum.NEVER;
+            if (end == Owner.End.SUPERSEDED) {
+                holdOff();
+            }
         }
     }
 
+    /** VMs that don't see each other would otherwise take a group from one another several times a second. */
+    private void holdOff() {
+        boolean repeated = fx.now() - holdOffUntilMs < OwnershipTiming.MAX_HOLD_OFF_MS;
+        holdOffMs =
+                repeated ? Math.min(2 * holdOffMs, OwnershipTiming.MAX_HOLD_OFF_MS) : OwnershipTiming.MIN_HOLD_OFF_MS;
+        holdOffUntilMs = fx.now() + holdOffMs;
+    }
+
     private void unpark() {
         if (parked.isEmpty()) {
             return;
@@ -207,7 +220,7 @@
 
     private void considerTakeover() {
         MembershipView now = view;
-        if (now == null || fx.now() < graceUntilMs) {
+        if (now == null || fx.now() < Math.max(graceUntilMs, holdOffUntilMs)) {
             return;
         }
         boolean eligible = isEligible(now);
@@ -443,6 +456,7 @@
         if (current != null) {
             current.close();
             owner = null;
+            holdOff();
         }
         nextReadAtMs = Quorum.NEVER;
     }
--- a/library/src/main/java/io/radishspindle/ownership/Owner.java
+++ b/library/src/main/java/io/radishspindle/ownership/Owner.java
@@ -33,7 +33,14 @@
 final class Owner implements WorkerLink.Listener, JobDesk.Commands {
     /** Told that the object has ended. */
     interface Listener {
-        void ended(Owner owner, String reason);
+        void ended(Owner owner, End end);
+    }
+
+    /** Why the object has ended. */
+    enum End {
+        AUTHORITY_LAPSED,
+        /** Another owner has a higher epoch. */
+        SUPERSEDED
     }
 
     private final Effects fx;
@@ -81,7 +88,11 @@
             links.put(worker.id(), new WorkerLink(fx, timing, record.epoch(), worker, this));
         }
         journal = new Journal(
-                fx, "group/" + group + "/", record.epoch(), this::advance, () -> end("journal has a later owner"));
+                fx,
+                "group/" + group + "/",
+                record.epoch(),
+                this::advance,
+                () -> end(End.SUPERSEDED, "journal has a later owner"));
         desk = new JobDesk(fx, group, journal, placement, this);
     }
 
@@ -149,7 +160,7 @@
         long authorityUntil = stopping ? Quorum.NEVER : authorityUntilMs();
         if (majorityAtMs != Quorum.NEVER && !stopping && fx.now() > authorityUntil) {
             fx.metrics().authorityLost();
-            end("no majority of workers answers");
+            end(End.AUTHORITY_LAPSED, "no majority of workers answers");
             return;
         }
         journal.tick();
@@ -309,7 +320,7 @@
     @Override
     public void superseded(WorkerLink link, ControlReply reply) {
         if (reply.epoch() > record.epoch()) {
-            end("worker " + link.worker.id() + " has seen epoch " + reply.epoch());
+            end(End.SUPERSEDED, "worker " + link.worker.id() + " has seen epoch " + reply.epoch());
         }
     }
 
@@ -439,7 +450,7 @@
             }
             @Nullable OwnershipRecord found = decode(result.get());
             if (found == null || found.epoch() > record.epoch()) {
-                end("record has a later epoch");
+                end(End.SUPERSEDED, "record has a later epoch");
             } else {
                 confirmedAtMs = sentAt;
             }
@@ -450,11 +461,11 @@
         return entry.exists() ? RecordCodec.decode(entry.value(), OwnershipRecord.class) : null;
     }
 
-    private void end(String reason) {
+    private void end(End end, String reason) {
         if (!ended) {
             close();
             Logger.warn("event=ownership-ended group={} epoch={} reason=\"{}\"", group, record.epoch(), reason);
-            listener.ended(this, reason);
+            listener.ended(this, end);
         }
     }
 }
--- a/library/src/main/java/io/radishspindle/ownership/OwnershipTiming.java
+++ b/library/src/main/java/io/radishspindle/ownership/OwnershipTiming.java
@@ -41,6 +41,11 @@
     /** Pause between repeated reads of a record, and between attempts to take over. */
     static final long RETRY_MS = 250;
 
+    /** A VM whose ownership was taken by a peer waits this long, doubled each time, before it takes the group again. */
+    static final long MIN_HOLD_OFF_MS = 5_000;
+
+    static final long MAX_HOLD_OFF_MS = 40_000;
+
     /** How often a VM reads the records of groups that it does not own, so that it can become caretaker. */
     static final long RECORD_REFRESH_MS = 10_000;
 
--- a/soak-runner/src/main/java/io/radishspindle/soak/FakeWorker.java
+++ b/soak-runner/src/main/java/io/radishspindle/soak/FakeWorker.java
@@ -37,6 +37,7 @@
     private final long clockOffsetMs;
     private final double clockRate;
     private boolean failAll;
+    private boolean leased;
     private long epoch;
     private long term;
     private String holder = "";
@@ -100,8 +101,13 @@
         if (!isAlive() || isPaused()) {
             return;
         }
-        if (!running.isEmpty() && clock() >= runLeaseEndsMs) {
+        boolean lapsed = clock() >= runLeaseEndsMs;
+        if (lapsed && leased) {
             history.accept(new HistoryEvent.LeaseLapsed(sim.now(), id));
+            sim.note(id + " run lease lapsed");
+        }
+        leased = !lapsed;
+        if (lapsed) {
             List.copyOf(running.values()).forEach(task -> end(task, TaskOutcome.LEASE_EXPIRED));
         }
         for (Task task : List.copyOf(running.values())) {
@@ -113,6 +119,10 @@
 
     ControlReply control(ControlRequest request) {
         advance();
+        if (request.mode() == Mode.CLAIM) {
+            sim.note(id + " has " + epoch + "." + term + " and gets a claim " + request.epoch() + "." + request.term()
+                    + " of " + request.holder());
+        }
         if (sim.now() - upSinceMs < QUIET_MS || !admits(request)) {
             return reply(false, List.of(), List.of(), List.of());
         }
--- a/soak-runner/src/main/java/io/radishspindle/soak/HistoryChecker.java
+++ b/soak-runner/src/main/java/io/radishspindle/soak/HistoryChecker.java
@@ -46,9 +46,7 @@
         @Nullable
         TaskOutcome outcome;
 
-        boolean acknowledged;
-        /** The worker died or lost its leases after the end and before the acknowledgement. */
-        boolean reportMayBeLost;
+        long acknowledgedMs = Long.MAX_VALUE;
 
         Run(HistoryEvent.Started started) {
             attempt = started.attempt();
@@ -65,6 +63,7 @@
     private final Set<String> cancelled = new HashSet<>();
     private final Map<String, JobStatus.Phase> phases = new HashMap<>();
     private final Map<String, HistoryEvent.WorkerPaused> lastPause = new HashMap<>();
+    private final Map<String, List<Long>> disturbances = new HashMap<>();
     private final List<Breach> breaches = new ArrayList<>();
 
     private HistoryChecker() {}
@@ -73,7 +72,7 @@
     static List<Breach> check(List<HistoryEvent> history) {
         HistoryChecker checker = new HistoryChecker();
         history.forEach(checker::read);
-        checker.checkTwoPlaces();
+        checker.checkTasks();
         checker.checkOverfull();
         checker.checkJobs();
         return checker.breaches;
@@ -86,17 +85,17 @@
             endAll(died);
         } else if (event instanceof HistoryEvent.WorkerPaused paused) {
             lastPause.put(paused.worker(), paused);
-            markReportsLost(paused.worker());
+            disturb(paused.worker(), paused.sinceMs());
         } else if (event instanceof HistoryEvent.LeaseLapsed lapsed) {
-            markReportsLost(lapsed.worker());
+            disturb(lapsed.worker(), lapsed.atMs());
         } else if (event instanceof HistoryEvent.Started started) {
-            start(started);
+            runs.add(new Run(started));
         } else if (event instanceof HistoryEvent.Ended ended) {
             end(ended);
         } else if (event instanceof HistoryEvent.Acknowledged acknowledged) {
             runs.stream()
                     .filter(run -> run.attempt.equals(acknowledged.attempt()))
-                    .forEach(run -> run.acknowledged = true);
+                    .forEach(run -> run.acknowledgedMs = Math.min(run.acknowledgedMs, acknowledged.atMs()));
         } else if (event instanceof HistoryEvent.Submitted job) {
             submitted.put(job.job().id(), job.job());
         } else if (event instanceof HistoryEvent.Answered answered) {
@@ -114,26 +113,12 @@
                 run.endMs = died.atMs();
             }
         }
-        markReportsLost(died.worker());
+        disturb(died.worker(), died.atMs());
     }
 
-    private void markReportsLost(String worker) {
-        runs.stream()
-                .filter(run -> run.worker.equals(worker) && !run.acknowledged)
-                .forEach(run -> run.reportMayBeLost = true);
-    }
-
-    private void start(HistoryEvent.Started started) {
-        for (Run run : runs) {
-            boolean sameTask = run.attempt.task().equals(started.attempt().task());
-            boolean done = run.outcome == TaskOutcome.SUCCEEDED && (run.acknowledged || !run.reportMayBeLost);
-            if (sameTask && done) {
-                String text = started.attempt() + " started at " + started.worker() + " after " + run.attempt
-                        + " succeeded at " + run.worker;
-                breaches.add(new Breach(Rule.RERUN, started.atMs(), text));
-            }
-        }
-        runs.add(new Run(started));
+    /** From this time on the owner may have missed what the worker had to report. */
+    private void disturb(String worker, long atMs) {
+        disturbances.computeIfAbsent(worker, id -> new ArrayList<>()).add(atMs);
     }
 
     private void end(HistoryEvent.Ended ended) {
@@ -154,24 +139,37 @@
         }
     }
 
-    private void checkTwoPlaces() {
+    private void checkTasks() {
         Map<TaskId, List<Run>> byTask = new HashMap<>();
         runs.forEach(run -> byTask.computeIfAbsent(run.attempt.task(), task -> new ArrayList<>())
                 .add(run));
         for (List<Run> same : byTask.values()) {
             for (int i = 0; i < same.size(); i++) {
                 for (int j = i + 1; j < same.size(); j++) {
-                    Run a = same.get(i);
-                    Run b = same.get(j);
-                    if (a.startMs < b.endMs && b.startMs < a.endMs) {
-                        String text = a.attempt + " at " + a.worker + " and " + b.attempt + " at " + b.worker;
-                        breaches.add(new Breach(Rule.TWO_PLACES, Math.max(a.startMs, b.startMs), text));
-                    }
+                    checkPair(same.get(i), same.get(j));
                 }
             }
         }
     }
 
+    private void checkPair(Run first, Run second) {
+        if (first.startMs < second.endMs && second.startMs < first.endMs) {
+            String text = first.attempt + " at " + first.worker + " and " + second.attempt + " at " + second.worker;
+            breaches.add(new Breach(Rule.TWO_PLACES, second.startMs, text));
+        } else if (first.outcome == TaskOutcome.SUCCEEDED && !isExcused(first, second.startMs)) {
+            String text = second.attempt + " started at " + second.worker + " after " + first.attempt + " succeeded at "
+                    + first.worker;
+            breaches.add(new Breach(Rule.RERUN, second.startMs, text));
+        }
+    }
+
+    /** A success that nobody was told of is lost with the worker or its leases. */
+    private boolean isExcused(Run succeeded, long startedAgainMs) {
+        return succeeded.acknowledgedMs > startedAgainMs
+                && disturbances.getOrDefault(succeeded.worker, List.of()).stream()
+                        .anyMatch(at -> at >= succeeded.endMs && at <= startedAgainMs);
+    }
+
     private void checkOverfull() {
         Map<String, List<Run>> byWorker = new TreeMap<>();
         runs.forEach(run -> byWorker.computeIfAbsent(run.worker, worker -> new ArrayList<>())
--- a/soak-runner/src/main/java/io/radishspindle/soak/Simulation.java
+++ b/soak-runner/src/main/java/io/radishspindle/soak/Simulation.java
@@ -20,10 +20,15 @@
     private final PriorityQueue<Scheduled> queue =
             new PriorityQueue<>(Comparator.comparingLong(Scheduled::atMs).thenComparingLong(Scheduled::number));
     private final Deque<String> log = new ArrayDeque<>();
+    private final String traced;
     private long now;
     private long number;
 
-    Simulation(long seed) {
+    /**
+     * @param traced prints each noted event that contains this text; prints nothing if empty
+     */
+    Simulation(long seed, String traced) {
+        this.traced = traced;
         random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
     }
 
@@ -62,6 +67,9 @@
 
     void note(String line) {
         log.add(now + " " + line);
+        if (!traced.isEmpty() && (line + " ").contains(traced)) {
+            System.out.println(now + " " + line);
+        }
         if (log.size() > KEPT_LINES) {
             log.remove();
         }
--- a/soak-runner/src/main/java/io/radishspindle/soak/Soak.java
+++ b/soak-runner/src/main/java/io/radishspindle/soak/Soak.java
@@ -47,6 +47,7 @@
         parser.addArgument("--without")
                 .setDefault("none")
                 .help("comma-separated safety mechanisms to turn off: " + Mechanism.titles());
+        parser.addArgument("--trace").setDefault("").help("print the events that contain this text, for example w3");
         return parser;
     }
 
@@ -68,8 +69,13 @@
         int failed = 0;
         Map<String, Long> totals = new TreeMap<>();
         for (long seed = from; seed < from + seeds; seed++) {
-            SoakRun.Result result = SoakRun.run(
-                    new SoakRun.Plan(seed, (long) (hours * MS_PER_HOUR), faults, off, n -> new FirstFitPlacement()));
+            SoakRun.Result result = SoakRun.run(new SoakRun.Plan(
+                    seed,
+                    (long) (hours * MS_PER_HOUR),
+                    faults,
+                    off,
+                    n -> new FirstFitPlacement(),
+                    options.getString("trace")));
             result.counts().forEach((name, count) -> totals.merge(name, count, Long::sum));
             if (!result.passed()) {
                 failed++;
--- a/soak-runner/src/main/java/io/radishspindle/soak/SoakRun.java
+++ b/soak-runner/src/main/java/io/radishspindle/soak/SoakRun.java
@@ -21,9 +21,15 @@
      * What a run needs.
      *
      * @param faultMs simulated time with faults; a quiet time follows
+     * @param traced events that contain this text are printed; empty for none
      */
     record Plan(
-            long seed, long faultMs, List<Fault> faults, Set<Mechanism> off, LongFunction<GroupPlacement> placements) {}
+            long seed,
+            long faultMs,
+            List<Fault> faults,
+            Set<Mechanism> off,
+            LongFunction<GroupPlacement> placements,
+            String traced) {}
 
     /** Outcome of a run. */
     record Result(
@@ -40,7 +46,7 @@
     private SoakRun() {}
 
     static Result run(Plan plan) {
-        Simulation sim = new Simulation(plan.seed());
+        Simulation sim = new Simulation(plan.seed(), plan.traced());
         Cell cell = new Cell(sim, plan.off(), VMS, WORKERS, plan.placements());
         FaultInjector injector = new FaultInjector(cell, plan.faults(), plan.faultMs());
         injector.start();
