--- a/library/src/main/java/io/radishspindle/ownership/Owner.java
+++ b/library/src/main/java/io/radishspindle/ownership/Owner.java
@@ -5,6 +5,7 @@
 import io.radishspindle.model.JobStatus;
 import io.radishspindle.model.Resources;
 import io.radishspindle.model.TaskAttempt;
+import io.radishspindle.model.TaskOutcome;
 import io.radishspindle.model.WorkerInfo;
 import io.radishspindle.placement.GroupPlacement;
 import io.radishspindle.placement.PlacementEvent;
@@ -32,7 +33,14 @@
 final class Owner implements WorkerLink.Listener, JobDesk.Commands {
     /** Told that the object has ended. */
     interface Listener {
-        void ended(Owner owner, String reason);
+        void ended(Owner owner, End end);
+    }
+
+    /** Why the object has ended. */
+    enum End {
+        AUTHORITY_LAPSED,
+        /** Another owner has a higher epoch. */
+        SUPERSEDED
     }
 
     private final Effects fx;
@@ -80,7 +88,11 @@
             links.put(worker.id(), new WorkerLink(fx, timing, record.epoch(), worker, this));
         }
         journal = new Journal(
-                fx, "group/" + group + "/", record.epoch(), this::advance, () -> end("journal has a later owner"));
+                fx,
+                "group/" + group + "/",
+                record.epoch(),
+                this::advance,
+                () -> end(End.SUPERSEDED, "journal has a later owner"));
         desk = new JobDesk(fx, group, journal, placement, this);
     }
 
@@ -148,7 +160,7 @@
         long authorityUntil = stopping ? Quorum.NEVER : authorityUntilMs();
         if (majorityAtMs != Quorum.NEVER && !stopping && fx.now() > authorityUntil) {
             fx.metrics().authorityLost();
-            end("no majority of workers answers");
+            end(End.AUTHORITY_LAPSED, "no majority of workers answers");
             return;
         }
         journal.tick();
@@ -308,7 +320,7 @@
     @Override
     public void superseded(WorkerLink link, ControlReply reply) {
         if (reply.epoch() > record.epoch()) {
-            end("worker " + link.worker.id() + " has seen epoch " + reply.epoch());
+            end(End.SUPERSEDED, "worker " + link.worker.id() + " has seen epoch " + reply.epoch());
         }
     }
 
@@ -324,11 +336,16 @@
     private void reportFinished(WorkerLink link, ControlReply reply) {
         for (WorkerClient.Finished finished : reply.finished()) {
             TaskAttempt attempt = finished.attempt();
-            if (!reported.add(attempt)) {
+            if (link.isAcknowledging(attempt)) {
                 continue;
             }
-            desk.feed(new PlacementEvent.TaskEnded(attempt, link.worker.id(), finished.outcome(), finished.detail()));
-            if (desk.isSettled(attempt)) {
+            if (reported.add(attempt)) {
+                desk.feed(
+                        new PlacementEvent.TaskEnded(attempt, link.worker.id(), finished.outcome(), finished.detail()));
+            }
+            boolean needsRecord =
+                    finished.outcome() == TaskOutcome.SUCCEEDED || finished.outcome() == TaskOutcome.FAILED;
+            if (!needsRecord || desk.isSettled(attempt)) {
                 acknowledge(link.worker.id(), attempt);
             }
         }
@@ -433,7 +450,7 @@
             }
             @Nullable OwnershipRecord found = decode(result.get());
             if (found == null || found.epoch() > record.epoch()) {
-                end("record has a later epoch");
+                end(End.SUPERSEDED, "record has a later epoch");
             } else {
                 confirmedAtMs = sentAt;
             }
@@ -444,11 +461,11 @@
         return entry.exists() ? RecordCodec.decode(entry.value(), OwnershipRecord.class) : null;
     }
 
-    private void end(String reason) {
+    private void end(End end, String reason) {
         if (!ended) {
             close();
             Logger.warn("event=ownership-ended group={} epoch={} reason=\"{}\"", group, record.epoch(), reason);
-            listener.ended(this, reason);
+            listener.ended(this, end);
         }
     }
 }
