--- a/platform-standins/src/main/java/io/radishspindle/standin/VmListFile.java
+++ b/platform-standins/src/main/java/io/radishspindle/standin/VmListFile.java
@@ -31,7 +31,7 @@
         try {
             return file.toString().endsWith(".json") ? readJson(file) : readIni(file);
         } catch (IOException | ConfigurationException | ConversionException e) {
-            throw new IllegalArgumentException(file + ": " + e.getMessage(), e);
+            throw new IllegalArgumentException("cannot read " + file + ": " + e, e);
         }
     }
 
