Give new work only to endpoints with a recent live probe

Cause: a VM that was paused, or whose probes were lost, could still send new work to an endpoint that had begun to leave, because two missed probes only counted answers. Change: an executor is usable only if it answered 'live' to a probe sent at most 2.5 s ago. This bounds new work after the start of leaving without relying on the VM list or on a clock jump being noticed. Tests use HttpExecutorClient in place of a stand-in. Ruled out: detecting pauses by a jump of the clock, since lost probes without a pause have the same effect.

--- a/library/src/main/java/io/radishspindle/routing/AttemptOutcome.java
+++ b/library/src/main/java/io/radishspindle/routing/AttemptOutcome.java
@@ -1,5 +1,6 @@
 package io.radishspindle.routing;
 
+import io.radishspindle.error.ErrorCode;
 import io.radishspindle.error.Failure;
 
 /** How one attempt of a request ended. Implementations are immutable. */
@@ -15,5 +16,10 @@
     record Busy(boolean leaving) implements AttemptOutcome {}
 
     /** No whole answer; {@link Failure#notRun} tells whether the request can have run. */
-    record Failed(Failure failure) implements AttemptOutcome {}
+    record Failed(Failure failure) implements AttemptOutcome {
+        /** The request can't be sent to any executor as it is. */
+        boolean isCallersFault() {
+            return failure.notRun() && failure.code() == ErrorCode.INVALID_REQUEST;
+        }
+    }
 }
--- a/library/src/main/java/io/radishspindle/routing/CallerResponder.java
+++ b/library/src/main/java/io/radishspindle/routing/CallerResponder.java
@@ -6,6 +6,7 @@
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
@@ -52,7 +53,11 @@
         }
         response.setStatusCode(answer.status());
         headers.forEach(header -> response.headers().add(header.getKey(), header.getValue()));
+        String length = answer.headers().get(HttpHeaders.CONTENT_LENGTH);
         boolean head = request.method().equals(HttpMethod.HEAD);
+        if (head && length != null) {
+            response.putHeader(HttpHeaders.CONTENT_LENGTH, length);
+        }
         limitTime(head ? response.end() : response.end(answer.body()));
     }
 
--- a/library/src/main/java/io/radishspindle/routing/EndpointState.java
+++ b/library/src/main/java/io/radishspindle/routing/EndpointState.java
@@ -9,8 +9,14 @@
  * <p>Invariant: new work is possible only while the view and the probes find the endpoint live.
  */
 final class EndpointState {
-    /** Missed probes after which an endpoint gets no new work. */
-    private static final int SUSPECT_AFTER_MISSED = 2;
+    /** Longest time between probes; a longer setting would make {@link #MAX_PROBE_AGE_MS} lapse between them. */
+    static final long MAX_PROBE_INTERVAL_MS = 1_000;
+    /**
+     * An endpoint gets new work only if it answered "live" to a probe that was sent at most this long ago. A leaving
+     * endpoint therefore gets no new work after this time, even from a VM that was paused or lost probes. Two missed
+     * probes in a row exceed it.
+     */
+    static final long MAX_PROBE_AGE_MS = 2_500;
     /** Probes sent after the last sign of leaving that must find the endpoint live before it gets work again. */
     private static final int LIVE_PROBES_TO_RETURN = 2;
 
@@ -19,7 +25,6 @@
     int connectionShare;
     int inUse;
     int rampSlots = Integer.MAX_VALUE;
-    int missedProbes;
     int consecutiveFailures;
     int ejections;
     long ejectedUntilMs = Long.MIN_VALUE;
@@ -31,6 +36,8 @@
     int latencySamples;
     String lastErrorCaller = "";
     private boolean leaving;
+    private long verifiedAtMs;
+    private boolean verified;
     private long leavingSinceMs;
     private int liveProbes;
 
@@ -52,17 +59,19 @@
         liveProbes = 0;
     }
 
-    /** A live answer to an older probe must not undo a newer sign of leaving. */
+    /** Takes a live answer; one to an older probe must not undo a newer sign of leaving. */
     void sawLiveProbe(long sentAtMs) {
-        missedProbes = 0;
         if (leaving && sentAtMs > leavingSinceMs) {
             liveProbes++;
             leaving = liveProbes < LIVE_PROBES_TO_RETURN;
         }
+        verified = true;
+        verifiedAtMs = sentAtMs;
     }
 
-    boolean isUsable() {
-        return listed && !leaving && missedProbes < SUSPECT_AFTER_MISSED && endpoint.liveness() == Liveness.LIVE;
+    boolean isUsable(long nowMs) {
+        boolean fresh = verified && nowMs - verifiedAtMs <= MAX_PROBE_AGE_MS;
+        return listed && fresh && !leaving && endpoint.liveness() == Liveness.LIVE;
     }
 
     boolean isEjected(long nowMs) {
@@ -70,7 +79,7 @@
     }
 
     int capacity(long nowMs) {
-        if (!isUsable() || isEjected(nowMs)) {
+        if (!isUsable(nowMs) || isEjected(nowMs)) {
             return 0;
         }
         return Math.min(Math.min(assignedSlots, connectionShare), rampSlots);
--- a/library/src/main/java/io/radishspindle/routing/OutcomeObserver.java
+++ b/library/src/main/java/io/radishspindle/routing/OutcomeObserver.java
@@ -24,11 +24,20 @@
             stats.busy++;
             signal(executor, busy.leaving(), nowMs);
             executor.busyUntilMs = nowMs + BUSY_PAUSE_MS;
-        } else if (outcome instanceof AttemptOutcome.Failed failed) {
+        } else if (outcome instanceof AttemptOutcome.Failed failed && !failed.isCallersFault()) {
             failed(service, request, executor, failed, nowMs);
         }
     }
 
+    /** Notes that a probe found the executor leaving. */
+    void probedLeaving(EndpointState executor, long sentAtMs, long nowMs) {
+        if (limits.has(Safeguard.LEAVING_SIGNALS)) {
+            executor.sawLeaving(nowMs);
+        } else {
+            executor.sawLiveProbe(sentAtMs);
+        }
+    }
+
     /** Notes that an executor asks for no further work. */
     void signal(EndpointState executor, boolean leaving, long nowMs) {
         if (leaving && limits.has(Safeguard.LEAVING_SIGNALS)) {
--- a/library/src/main/java/io/radishspindle/routing/RoutingCore.java
+++ b/library/src/main/java/io/radishspindle/routing/RoutingCore.java
@@ -291,7 +291,7 @@
 
     private void viewChanged(MembershipView view) {
         ready = true;
-        services.update(view, nowMs);
+        services.update(view);
         services.all().forEach(this::dispatch);
     }
 
@@ -304,8 +304,8 @@
             executor.probing = false;
             switch (probe.result()) {
                 case LIVE -> executor.sawLiveProbe(probe.sentAtMs());
-                case LEAVING -> observer.signal(executor, true, nowMs);
-                case MISSED -> executor.missedProbes++;
+                case LEAVING -> observer.probedLeaving(executor, probe.sentAtMs(), nowMs);
+                case MISSED -> stats.missedProbes++;
             }
             dispatch(service);
         }
@@ -325,7 +325,7 @@
         if (executor.probing || !executor.listed || executor.assignedSlots == 0 || nowMs < executor.nextProbeAtMs) {
             return;
         }
-        long probeMs = limits.routing().probeMs();
+        long probeMs = Math.min(limits.routing().probeMs(), EndpointState.MAX_PROBE_INTERVAL_MS);
         executor.probing = true;
         executor.nextProbeAtMs = nowMs + probeMs;
         Endpoint to = executor.endpoint;
--- a/library/src/main/java/io/radishspindle/routing/RoutingStats.java
+++ b/library/src/main/java/io/radishspindle/routing/RoutingStats.java
@@ -12,6 +12,7 @@
     long refusedUnknown;
     long abandoned;
     long unexpectedAnswers;
+    long missedProbes;
 
     void refused(boolean notRun) {
         if (notRun) {
@@ -65,4 +66,8 @@
     public long unexpectedAnswers() {
         return unexpectedAnswers;
     }
+
+    public long missedProbes() {
+        return missedProbes;
+    }
 }
--- a/library/src/main/java/io/radishspindle/routing/ServiceState.java
+++ b/library/src/main/java/io/radishspindle/routing/ServiceState.java
@@ -38,24 +38,22 @@
     }
 
     /** Takes over a view; {@code endpoints} are those of this service in all data centres. */
-    void update(MembershipView view, List<Endpoint> endpoints, SlotTable slots, long nowMs) {
+    void update(MembershipView view, List<Endpoint> endpoints, SlotTable slots) {
         known = !endpoints.isEmpty();
         executors.values().forEach(e -> e.listed = false);
         for (Endpoint endpoint : endpoints) {
             if (endpoint.dataCentre().equals(view.self().dataCentre())) {
-                updateExecutor(endpoint, slots, view.self().id(), nowMs);
+                updateExecutor(endpoint, slots, view.self().id());
             }
         }
         executors.values().removeIf(e -> !e.listed && e.inUse == 0);
         peers.update(view, endpoints, slots, name);
     }
 
-    private void updateExecutor(Endpoint endpoint, SlotTable slots, String self, long nowMs) {
+    private void updateExecutor(Endpoint endpoint, SlotTable slots, String self) {
         EndpointState state = executors.get(endpoint.id());
         if (state == null) {
             state = new EndpointState(endpoint);
-            state.nextProbeAtMs =
-                    nowMs + random.nextLong(Math.max(1, limits.routing().probeMs()));
             executors.put(endpoint.id(), state);
         }
         state.endpoint = endpoint;
--- a/library/src/main/java/io/radishspindle/routing/ServiceTable.java
+++ b/library/src/main/java/io/radishspindle/routing/ServiceTable.java
@@ -42,7 +42,7 @@
         return service;
     }
 
-    void update(MembershipView view, long nowMs) {
+    void update(MembershipView view) {
         slots.update(view);
         Map<String, List<Endpoint>> byService = new HashMap<>();
         for (Endpoint endpoint : view.endpoints()) {
@@ -52,7 +52,7 @@
             services.computeIfAbsent(endpoint.service(), name -> new ServiceState(name, limits, random));
         }
         for (ServiceState service : services.values()) {
-            service.update(view, byService.getOrDefault(service.name, List.of()), slots, nowMs);
+            service.update(view, byService.getOrDefault(service.name, List.of()), slots);
         }
     }
 
--- a/library/src/test/java/io/radishspindle/routing/RequestServiceTest.java
+++ b/library/src/test/java/io/radishspindle/routing/RequestServiceTest.java
@@ -45,7 +45,9 @@
 
     @Test
     void should_refuse_not_run_when_nothing_listens() {
-        try (RoutingFixture fixture = new RoutingFixture().endpoint(8, 1).start()) {
+        try (RoutingFixture fixture = new RoutingFixture().endpoint(8, 1)) {
+            fixture.waitForSlots = false;
+            fixture.start();
             // when
             Answer answer = fixture.call(HttpMethod.POST, "/services/layout/x", Map.of("Deadline-Ms", "2000"), "");
             // then
--- a/library/src/test/java/io/radishspindle/routing/RoutingFixture.java
+++ b/library/src/test/java/io/radishspindle/routing/RoutingFixture.java
@@ -7,10 +7,12 @@
 import io.radishspindle.membership.MembershipView.Endpoint;
 import io.radishspindle.membership.MembershipView.EntryVm;
 import io.radishspindle.platform.SystemClock;
+import io.radishspindle.platform.http.HttpExecutorClient;
 import io.radishspindle.settings.EntrySettings;
 import io.vavr.control.Either;
 import io.vertx.core.Future;
 import io.vertx.core.Handler;
+import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -33,7 +35,7 @@
     static final long WAIT_MS = 10_000;
 
     /** An answer as a caller sees it. */
-    record Answer(int status, io.vertx.core.MultiMap headers, Buffer body) {
+    record Answer(int status, MultiMap headers, Buffer body) {
         boolean notRun() {
             return body.toJsonObject().getBoolean("notRun");
         }
@@ -48,6 +50,7 @@
     private final List<Endpoint> endpoints = new ArrayList<>();
     private final HttpClient callers = vertx.createHttpClient();
     private RequestService service;
+    boolean waitForSlots = true;
     int port;
 
     /** Refuses keyed requests, as a VM without a store does. */
@@ -104,7 +107,7 @@
         service = new RequestService(
                 vertx,
                 new SystemClock(),
-                new LoopbackExecutorClient(vertx),
+                new HttpExecutorClient(vertx, routing.maxBodyBytes()),
                 peers.messenger("vm1"),
                 keyed,
                 Routings.settings("vm1", routing),
@@ -117,7 +120,7 @@
         HttpServer server =
                 await(vertx.createHttpServer().requestHandler(router).listen(0, "127.0.0.1"));
         port = server.actualPort();
-        until(() -> !service.loads().isEmpty() || endpoints.isEmpty());
+        until(() -> service.loads().stream().anyMatch(load -> load.freeSlots() > 0) || !waitForSlots);
         return this;
     }
 
