--- a/soak/src/main/java/io/radishspindle/soak/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-@org.jspecify.annotations.NullMarked
-package io.radishspindle.soak;
