Look at each size once per pass

Change: sizes with waiting tasks are shared objects with a blocked flag, and a pass keeps a cursor per team.

--- a/library/src/main/java/io/radishspindle/placement/internal/Bucket.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/Bucket.java
@@ -11,13 +11,15 @@
 final class Bucket {
     final Team team;
     final Resources demand;
+    final Shape shape;
     final TreeMap<Long, JobState> jobs = new TreeMap<>();
     /** Sequence number of the oldest job, as the sorted sets know it. */
     long headSequence;
 
-    Bucket(Team team, Resources demand) {
+    Bucket(Team team, Shape shape) {
         this.team = team;
-        this.demand = demand;
+        this.shape = shape;
+        this.demand = shape.demand;
     }
 
     JobState head() {
--- a/library/src/main/java/io/radishspindle/placement/internal/ClassQueue.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/ClassQueue.java
@@ -19,16 +19,22 @@
 
     private record Key(String team, Resources demand) {}
 
+    private final Shapes shapes;
     private final Map<Key, Bucket> buckets = new HashMap<>();
     private final TreeSet<Bucket> byArrival = new TreeSet<>(BY_ARRIVAL);
     private final Map<Team, TreeSet<Bucket>> byTeam = new TreeMap<>(Comparator.comparing((Team t) -> t.name));
 
+    ClassQueue(Shapes shapes) {
+        this.shapes = shapes;
+    }
+
     void add(JobState job, Team team) {
         Bucket known = job.bucket;
         if (known != null) {
             return;
         }
-        Bucket bucket = buckets.computeIfAbsent(new Key(team.name, job.demand), key -> new Bucket(team, job.demand));
+        Bucket bucket = buckets.computeIfAbsent(
+                new Key(team.name, job.demand), key -> new Bucket(team, shapes.acquire(job.demand)));
         unlink(bucket);
         bucket.jobs.put(job.sequence, job);
         job.bucket = bucket;
@@ -45,6 +51,7 @@
         job.bucket = null;
         if (bucket.jobs.isEmpty()) {
             buckets.remove(new Key(bucket.team.name, bucket.demand));
+            shapes.release(bucket.shape);
         } else {
             link(bucket);
         }
--- a/library/src/main/java/io/radishspindle/placement/internal/FailurePolicy.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/FailurePolicy.java
@@ -37,7 +37,7 @@
             restart(job, index, attempt, what);
             return false;
         }
-        Family family = lifecycle.familyOf(job);
+        Family family = job.family;
         family.noteFailure(job.spec.id(), attempt.worker.id);
         job.failures[index]++;
         job.totalFailures++;
--- a/library/src/main/java/io/radishspindle/placement/internal/FairPass.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/FairPass.java
@@ -1,17 +1,17 @@
 package io.radishspindle.placement.internal;
 
-import io.radishspindle.model.Resources;
+import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.Map;
+import java.util.List;
 import java.util.PriorityQueue;
-import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /**
  * Starts waiting tasks of one class, always for the team that uses the smallest part of its quota. Within a team the
  * oldest job goes first. Not thread-safe.
+ *
+ * <p>Free resources only shrink during a pass, so a bucket that finds no worker is not tried again in it, and one pass
+ * looks at each bucket once beside the tasks it starts.
  */
 final class FairPass {
     /** Chooses a worker for the next task of a job; null if there is none at present. */
@@ -23,23 +23,30 @@
     /** Bounds the search for a job that may run beside the reservations. */
     private static final int MAX_TRIED_PER_BUCKET = 8;
 
-    private record Candidate(Team team, double share, long headSequence) {}
+    /** A team with its buckets that may still find a worker. */
+    private static final class Candidate {
+        final Team team;
+        final List<Bucket> buckets = new ArrayList<>();
+        int cursor;
+        double share;
 
-    private static final Comparator<Candidate> ORDER =
-            Comparator.comparingDouble(Candidate::share).thenComparingLong(Candidate::headSequence);
+        Candidate(Team team) {
+            this.team = team;
+        }
+    }
+
+    private static final Comparator<Candidate> ORDER = Comparator.comparingDouble((Candidate c) -> c.share)
+            .thenComparingLong(c -> c.buckets.get(0).headSequence)
+            .thenComparing(c -> c.team.name);
 
     private final Context context;
     private final Ledger ledger;
-    private final Families families;
     private final Reservations reservations;
-    private final Set<Bucket> failed = new HashSet<>();
-    /** The shortest run time with which a size found no worker in this pass; longer ones find none either. */
-    private final Map<Resources, Long> shortestFailed = new HashMap<>();
+    private long pass;
 
-    FairPass(Context context, Ledger ledger, Families families, Reservations reservations) {
-        this.context = context;
-        this.ledger = ledger;
-        this.families = families;
+    FairPass(Parts parts, Reservations reservations) {
+        this.context = parts.context;
+        this.ledger = parts.ledger;
         this.reservations = reservations;
     }
 
@@ -47,36 +54,41 @@
         if (queue.isEmpty()) {
             return;
         }
-        failed.clear();
-        shortestFailed.clear();
+        pass++;
         PriorityQueue<Candidate> teams = new PriorityQueue<>(ORDER);
-        queue.teams().forEach(team -> addCandidate(teams, queue, team));
+        for (Team team : queue.teams()) {
+            Candidate candidate = candidate(queue, team);
+            if (!candidate.buckets.isEmpty()) {
+                teams.add(candidate);
+            }
+        }
         Candidate next = teams.poll();
         while (next != null) {
-            if (startOne(queue, next.team(), chooser)) {
-                addCandidate(teams, queue, next.team());
+            if (startOne(next, chooser)) {
+                next.share = next.team.share(context.policy);
+                teams.add(next);
             }
             next = teams.poll();
         }
     }
 
-    private void addCandidate(PriorityQueue<Candidate> teams, ClassQueue queue, Team team) {
-        Set<Bucket> buckets = queue.bucketsOf(team);
-        if (!buckets.isEmpty()) {
-            long head = buckets.iterator().next().headSequence;
-            teams.add(new Candidate(team, team.share(context.policy), head));
+    private Candidate candidate(ClassQueue queue, Team team) {
+        Candidate candidate = new Candidate(team);
+        for (Bucket bucket : queue.bucketsOf(team)) {
+            if (!bucket.shape.blocked) {
+                candidate.buckets.add(bucket);
+            }
         }
+        candidate.share = team.share(context.policy);
+        return candidate;
     }
 
-    private boolean startOne(ClassQueue queue, Team team, Chooser chooser) {
-        for (Bucket bucket : queue.bucketsOf(team)) {
-            if (ledger.isBlocked(bucket.demand) || failed.contains(bucket)) {
-                continue;
-            }
-            if (startFrom(bucket, chooser)) {
+    private boolean startOne(Candidate candidate, Chooser chooser) {
+        while (candidate.cursor < candidate.buckets.size()) {
+            if (startFrom(candidate.buckets.get(candidate.cursor), chooser)) {
                 return true;
             }
-            failed.add(bucket);
+            candidate.cursor++;
         }
         return false;
     }
@@ -85,27 +97,24 @@
     private boolean startFrom(Bucket bucket, Chooser chooser) {
         int tried = 0;
         for (JobState job : bucket.jobs.values()) {
-            if (!isHopeless(job)) {
-                WorkerState worker = chooser.choose(job);
-                if (worker != null) {
-                    ledger.start(job, job.ready.nextSetBit(0), worker);
-                    return true;
-                }
-                shortestFailed.merge(bucket.demand, runMs(job), Math::min);
-            }
-            if (++tried == MAX_TRIED_PER_BUCKET || ledger.isBlocked(bucket.demand)) {
+            if (bucket.shape.blocked || tried++ == MAX_TRIED_PER_BUCKET) {
                 return false;
             }
+            if (isHopeless(job, bucket.shape)) {
+                continue;
+            }
+            WorkerState worker = chooser.choose(job);
+            if (worker != null) {
+                ledger.start(job, job.ready.nextSetBit(0), worker);
+                return true;
+            }
+            bucket.shape.noteFailed(pass, job.expectedRunMs());
         }
         return false;
     }
 
     /** Whether a job that runs no longer found no worker before; one with a reservation of its own still may. */
-    private boolean isHopeless(JobState job) {
-        return runMs(job) >= shortestFailed.getOrDefault(job.demand, Long.MAX_VALUE) && reservations.of(job) == null;
-    }
-
-    private long runMs(JobState job) {
-        return families.of(job).expectedRunMs(job.spec);
+    private boolean isHopeless(JobState job, Shape shape) {
+        return shape.hasFailed(pass, job.expectedRunMs()) && reservations.of(job) == null;
     }
 }
--- a/library/src/main/java/io/radishspindle/placement/internal/Families.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/Families.java
@@ -14,7 +14,7 @@
         }
     };
 
-    Family of(JobState job) {
-        return byName.computeIfAbsent(job.spec.family(), Family::new);
+    Family of(String name) {
+        return byName.computeIfAbsent(name, Family::new);
     }
 }
--- a/library/src/main/java/io/radishspindle/placement/internal/GiveBack.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/GiveBack.java
@@ -16,14 +16,12 @@
 
     private final Context context;
     private final Queues queues;
-    private final Ledger ledger;
     private final RoomMaker rooms;
     private long nextAtMs;
 
     GiveBack(Parts parts, RoomMaker rooms) {
         this.context = parts.context;
         this.queues = parts.queues;
-        this.ledger = parts.ledger;
         this.rooms = rooms;
     }
 
@@ -55,7 +53,7 @@
 
     private boolean isOwed(Team team, Bucket bucket) {
         long waitedMs = context.nowMs - bucket.head().acceptedAtMs;
-        return waitedMs >= MIN_WAIT_MS && ledger.isBlocked(bucket.demand) && shareWith(team, bucket.demand) <= 1;
+        return waitedMs >= MIN_WAIT_MS && bucket.shape.blocked && shareWith(team, bucket.demand) <= 1;
     }
 
     private double shareWith(Team team, Resources more) {
--- a/library/src/main/java/io/radishspindle/placement/internal/JobState.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/JobState.java
@@ -23,6 +23,7 @@
     final long sequence;
 
     final long acceptedAtMs;
+    final Family family;
     final Map<Integer, Attempt> live = new HashMap<>();
     final BitSet ready = new BitSet();
     final int[] failures;
@@ -54,8 +55,9 @@
     @Nullable
     String lastProblem;
 
-    JobState(JobSpec spec, long sequence, long acceptedAtMs) {
+    JobState(JobSpec spec, Family family, long sequence, long acceptedAtMs) {
         this.spec = spec;
+        this.family = family;
         this.sequence = sequence;
         this.acceptedAtMs = acceptedAtMs;
         this.demand = spec.perTask();
@@ -66,6 +68,11 @@
         counts[TaskPhase.DELAYED.ordinal()] = spec.tasks();
     }
 
+    /** Expected run time of a task; services run for ever. */
+    long expectedRunMs() {
+        return spec.jobClass() == JobClass.SERVICE ? Long.MAX_VALUE : family.expectedRunMs(spec);
+    }
+
     boolean isGang() {
         return spec.jobClass() == JobClass.ALL_AT_ONCE;
     }
--- a/library/src/main/java/io/radishspindle/placement/internal/Ledger.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/Ledger.java
@@ -5,9 +5,7 @@
 import io.radishspindle.model.TaskId;
 import io.radishspindle.placement.PlacementAction;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
-import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -21,9 +19,6 @@
     private final WorkerTable workers;
     private final Queues queues;
     private final Map<TaskId, Attempt> orphans = new HashMap<>();
-    /** Sizes that fit on no usable worker; a size leaves the set when a worker has room for it. */
-    private final Set<Resources> blocked = new HashSet<>();
-
     private int running;
     private long freedVersion;
 
@@ -42,14 +37,6 @@
         return freedVersion;
     }
 
-    boolean isBlocked(Resources demand) {
-        return blocked.contains(demand);
-    }
-
-    void block(Resources demand) {
-        blocked.add(demand);
-    }
-
     Attempt start(JobState job, int index, WorkerState worker) {
         if (!worker.isUsable() || !context.mayStart) {
             throw new IllegalStateException("start on worker " + worker.id + " without the right to");
@@ -115,7 +102,7 @@
         freedVersion++;
         queues.changed = true;
         if (worker.isUsable()) {
-            blocked.removeIf(demand -> demand.fitsIn(worker.free));
+            queues.shapes.unblockFitting(worker.free);
         }
     }
 
--- a/library/src/main/java/io/radishspindle/placement/internal/Lifecycle.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/Lifecycle.java
@@ -42,7 +42,7 @@
     }
 
     private JobState register(JobSpec spec) {
-        JobState job = new JobState(spec, jobs.nextSequence(), context.nowMs);
+        JobState job = new JobState(spec, families.of(spec.family()), jobs.nextSequence(), context.nowMs);
         jobs.add(job);
         queues.noteJob(job);
         return job;
@@ -210,8 +210,4 @@
         context.emit(new PlacementAction.RecordJobEnd(job.spec.id(), status.phase(), status.explanation()));
         return true;
     }
-
-    Family familyOf(JobState job) {
-        return families.of(job);
-    }
 }
--- a/library/src/main/java/io/radishspindle/placement/internal/Parts.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/Parts.java
@@ -21,7 +21,7 @@
     Parts(PlacementPolicy policy) {
         context = new Context(policy);
         ledger = new Ledger(context, workers, queues);
-        sizing = new Sizing(families, workers);
+        sizing = new Sizing(workers);
         stopper = new Stopper(context, timers);
         explainer = new Explainer(context, workers, queues);
         lifecycle = new Lifecycle(this);
--- a/library/src/main/java/io/radishspindle/placement/internal/Placer.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/Placer.java
@@ -1,7 +1,6 @@
 package io.radishspindle.placement.internal;
 
 import io.radishspindle.model.JobClass;
-import io.radishspindle.model.Resources;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -18,7 +17,6 @@
     private final Context context;
     private final Queues queues;
     private final WorkerTable workers;
-    private final Ledger ledger;
     private final RoomMaker rooms;
     private final Reservations reservations;
     private final UrgentPass urgent;
@@ -31,12 +29,11 @@
         this.context = parts.context;
         this.queues = parts.queues;
         this.workers = parts.workers;
-        this.ledger = parts.ledger;
         this.rooms = new RoomMaker(parts);
         this.reservations = new Reservations(parts);
         this.urgent = new UrgentPass(parts, rooms);
         this.gangs = new GangPass(parts, reservations);
-        this.fair = new FairPass(context, ledger, parts.families, reservations);
+        this.fair = new FairPass(parts, reservations);
         this.giveBack = new GiveBack(parts, rooms);
     }
 
@@ -87,15 +84,15 @@
         if (worker != null) {
             reservations.noteStart(job, worker);
         } else {
-            blockIfNowhere(job.demand);
+            blockIfNowhere(job);
         }
         return worker;
     }
 
     /** Remembers a size that fits nowhere even without earmarks and reservations. */
-    private void blockIfNowhere(Resources demand) {
-        if (!rooms.hasEarmarks() && workers.bestFit(demand, w -> true) == null) {
-            ledger.block(demand);
+    private void blockIfNowhere(JobState job) {
+        if (job.bucket != null && !rooms.hasEarmarks() && workers.bestFit(job.demand, w -> true) == null) {
+            queues.shapes.block(job.bucket.shape);
         }
     }
 
@@ -108,9 +105,10 @@
         if (queue.isEmpty()) {
             return;
         }
-        JobState oldest = queue.bucketsByArrival().iterator().next().head();
+        Bucket first = queue.bucketsByArrival().iterator().next();
+        JobState oldest = first.head();
         boolean passedBy = context.nowMs - oldest.acceptedAtMs >= RESERVE_AFTER_MS;
-        if (passedBy && ledger.isBlocked(oldest.demand)) {
+        if (passedBy && first.shape.blocked) {
             reservations.reserve(oldest, 1);
         }
     }
--- a/library/src/main/java/io/radishspindle/placement/internal/Quarantine.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/Quarantine.java
@@ -22,7 +22,6 @@
     private final Context context;
     private final WorkerTable workers;
     private final Ledger ledger;
-    private final Families families;
     private final Timers timers;
     private int quarantined;
 
@@ -30,7 +29,6 @@
         this.context = parts.context;
         this.workers = parts.workers;
         this.ledger = parts.ledger;
-        this.families = parts.families;
         this.timers = parts.timers;
     }
 
@@ -40,7 +38,7 @@
     }
 
     void noteFailure(WorkerState worker, JobState job, int index) {
-        if (families.of(job).failsElsewhere(worker.id)) {
+        if (job.family.failsElsewhere(worker.id)) {
             return;
         }
         worker.failuresInRow.put(job.spec.id(), new WorkerState.FailedStart(job, index));
@@ -78,7 +76,7 @@
         job.totalFailures = Math.max(0, job.totalFailures - 1);
         job.retriesUsed = Math.max(0, job.retriesUsed - 1);
         job.failures[failed.index()] = Math.max(0, job.failures[failed.index()] - 1);
-        families.of(job).forgiveFailures(1, worker.id);
+        job.family.forgiveFailures(1, worker.id);
     }
 
     private void end(WorkerState worker) {
--- a/library/src/main/java/io/radishspindle/placement/internal/Queues.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/Queues.java
@@ -8,6 +8,7 @@
 
 /** The queue of each class and the teams. Not thread-safe. */
 final class Queues {
+    final Shapes shapes = new Shapes();
     private final Map<JobClass, ClassQueue> byClass = new EnumMap<>(JobClass.class);
     private final Map<String, Team> teams = new HashMap<>();
     private int waitingTasks;
@@ -16,7 +17,7 @@
 
     Queues() {
         for (JobClass jobClass : JobClass.values()) {
-            byClass.put(jobClass, new ClassQueue());
+            byClass.put(jobClass, new ClassQueue(shapes));
         }
     }
 
--- a/library/src/main/java/io/radishspindle/placement/internal/Reservations.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/Reservations.java
@@ -26,13 +26,11 @@
 
     private final Context context;
     private final WorkerTable workers;
-    private final Families families;
     private final List<Reservation> active = new ArrayList<>();
 
     Reservations(Parts parts) {
         this.context = parts.context;
         this.workers = parts.workers;
-        this.families = parts.families;
     }
 
     /** Drops reservations whose job has started or ended. */
@@ -76,10 +74,8 @@
     }
 
     private long expectedEndAtMs(JobState job) {
-        if (job.spec.jobClass() == JobClass.SERVICE) {
-            return Long.MAX_VALUE;
-        }
-        return context.nowMs + families.of(job).expectedRunMs(job.spec);
+        long runMs = job.expectedRunMs();
+        return runMs == Long.MAX_VALUE ? runMs : context.nowMs + runMs;
     }
 
     /** Reserves room for {@code count} tasks of a job that does not fit now, or plans again after a while. */
@@ -156,7 +152,7 @@
         if (job == null || job.spec.jobClass() == JobClass.SERVICE) {
             return Long.MAX_VALUE;
         }
-        long planned = attempt.startedAtMs + families.of(job).expectedRunMs(job.spec);
+        long planned = attempt.startedAtMs + job.expectedRunMs();
         return planned > context.nowMs ? planned : 2 * context.nowMs - attempt.startedAtMs + 1;
     }
 }
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/placement/internal/Shape.java
@@ -0,0 +1,31 @@
+package io.radishspindle.placement.internal;
+
+import io.radishspindle.model.Resources;
+
+/**
+ * A size of which tasks wait, shared by all buckets of that size, with what is known of its chances. Not thread-safe.
+ */
+final class Shape {
+    final Resources demand;
+    /** The size fits on no usable worker, even without earmarks and reservations. */
+    boolean blocked;
+
+    private long pass;
+    private long shortestFailedMs;
+    int users;
+
+    Shape(Resources demand) {
+        this.demand = demand;
+    }
+
+    /** Remembers that a job with this run time found no worker in the given pass. */
+    void noteFailed(long inPass, long runMs) {
+        shortestFailedMs = pass == inPass ? Math.min(shortestFailedMs, runMs) : runMs;
+        pass = inPass;
+    }
+
+    /** Whether a job that runs no longer than this one found no worker in the given pass. */
+    boolean hasFailed(long inPass, long runMs) {
+        return pass == inPass && runMs >= shortestFailedMs;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/placement/internal/Shapes.java
@@ -0,0 +1,45 @@
+package io.radishspindle.placement.internal;
+
+import io.radishspindle.model.Resources;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * The sizes of which tasks wait. Not thread-safe.
+ *
+ * <p>Invariant: a shape exists as long as a bucket uses it; {@code blocked} holds exactly the blocked ones.
+ */
+final class Shapes {
+    private final Map<Resources, Shape> byDemand = new HashMap<>();
+    private final Set<Shape> blocked = new LinkedHashSet<>();
+
+    Shape acquire(Resources demand) {
+        Shape shape = byDemand.computeIfAbsent(demand, Shape::new);
+        shape.users++;
+        return shape;
+    }
+
+    void release(Shape shape) {
+        shape.users--;
+        if (shape.users == 0) {
+            byDemand.remove(shape.demand);
+            blocked.remove(shape);
+        }
+    }
+
+    void block(Shape shape) {
+        shape.blocked = true;
+        blocked.add(shape);
+    }
+
+    /** Must be called when a worker has gained free resources. */
+    void unblockFitting(Resources free) {
+        blocked.removeIf(shape -> {
+            boolean fits = shape.demand.fitsIn(free);
+            shape.blocked = !fits;
+            return fits;
+        });
+    }
+}
--- a/library/src/main/java/io/radishspindle/placement/internal/Sizing.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/Sizing.java
@@ -4,11 +4,9 @@
 
 /** Decides how much is charged for a task. Not thread-safe. */
 final class Sizing {
-    private final Families families;
     private final WorkerTable workers;
 
-    Sizing(Families families, WorkerTable workers) {
-        this.families = families;
+    Sizing(WorkerTable workers) {
         this.workers = workers;
     }
 
@@ -18,7 +16,7 @@
      */
     Resources reservation(JobState job) {
         Resources declared = job.spec.perTask();
-        Resources raised = families.of(job).reservation(declared);
+        Resources raised = job.family.reservation(declared);
         if (raised.equals(declared)) {
             return declared;
         }
--- a/library/src/main/java/io/radishspindle/placement/internal/TaskEvents.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/TaskEvents.java
@@ -59,7 +59,7 @@
             record(event, event.outcome() == TaskOutcome.SUCCEEDED);
             return;
         }
-        lifecycle.familyOf(job).notePeak(attempt.peak);
+        job.family.notePeak(attempt.peak);
         endLive(event, attempt, job);
     }
 
@@ -68,7 +68,7 @@
         boolean service = job.spec.jobClass() == JobClass.SERVICE;
         if (event.outcome() == TaskOutcome.SUCCEEDED && !service) {
             quarantine.noteSuccess(attempt.worker);
-            lifecycle.familyOf(job).noteSuccess(context.nowMs - attempt.startedAtMs);
+            job.family.noteSuccess(context.nowMs - attempt.startedAtMs);
             record(event, true);
             lifecycle.finishTask(job, index, TaskPhase.SUCCEEDED);
         } else if (job.isEnding()) {
--- a/library/src/main/java/io/radishspindle/placement/internal/UrgentPass.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/UrgentPass.java
@@ -37,12 +37,12 @@
     }
 
     private void startAll(Bucket bucket) {
-        while (!bucket.jobs.isEmpty() && !ledger.isBlocked(bucket.demand)) {
+        while (!bucket.jobs.isEmpty() && !bucket.shape.blocked) {
             JobState job = bucket.head();
             WorkerState worker = workers.bestFit(bucket.demand, w -> true);
             if (worker == null) {
                 if (!rooms.hasEarmarks()) {
-                    ledger.block(bucket.demand);
+                    queues.shapes.block(bucket.shape);
                 }
                 return;
             }
