--- a/benchmarks/src/main/java/io/radishspindle/bench/FakeWorkers.java
+++ b/benchmarks/src/main/java/io/radishspindle/bench/FakeWorkers.java
@@ -131,6 +131,7 @@
         boolean checkpoint = command.command() == Command.CHECKPOINT_AND_STOP;
         if (!run.stopping) {
             stats.stoppedForOthers += checkpoint ? 1 : 0;
+            stats.reclaimed += command.reason().contains("quota") ? 1 : 0;
         }
         run.stopping = true;
         loop.at(loop.nowMs() + (checkpoint ? CHECKPOINT_MS : STOP_MS), () -> stop(run, checkpoint));
--- a/benchmarks/src/main/java/io/radishspindle/bench/ReplayStats.java
+++ b/benchmarks/src/main/java/io/radishspindle/bench/ReplayStats.java
@@ -19,6 +19,7 @@
     long unstarted;
     long failedTasks;
     long stoppedForOthers;
+    long reclaimed;
     long outOfMemory;
     long quarantines;
     /** Sums over the samples: busy, and what could have been busy. */
@@ -79,6 +80,7 @@
         coreNs += other.coreNs;
         unstarted += other.unstarted;
         failedTasks += other.failedTasks;
+        reclaimed += other.reclaimed;
         stoppedForOthers += other.stoppedForOthers;
         outOfMemory += other.outOfMemory;
         quarantines += other.quarantines;
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/placement/internal/Amounts.java
@@ -0,0 +1,21 @@
+package io.radishspindle.placement.internal;
+
+import io.radishspindle.model.Resources;
+
+/** Comparisons of amounts of resources. Holds no state. */
+final class Amounts {
+    private Amounts() {}
+
+    /** The smallest part of the demand, over the resources, that is free; at least 1 if the demand fits. */
+    static double part(Resources demand, Resources free) {
+        return Math.min(
+                ratio(free.milliCores(), demand.milliCores()),
+                Math.min(
+                        ratio(free.memoryMib(), demand.memoryMib()),
+                        ratio(free.accelerators(), demand.accelerators())));
+    }
+
+    private static double ratio(long free, long demand) {
+        return demand <= 0 ? Double.MAX_VALUE : (double) free / demand;
+    }
+}
--- a/library/src/main/java/io/radishspindle/placement/internal/Explainer.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/Explainer.java
@@ -153,19 +153,7 @@
 
     /** Of two free amounts the one that holds the larger part of the demand. */
     private static Resources closer(Resources demand, Resources a, Resources b) {
-        return part(demand, b) > part(demand, a) ? b : a;
-    }
-
-    private static double part(Resources demand, Resources free) {
-        return Math.min(
-                ratio(free.milliCores(), demand.milliCores()),
-                Math.min(
-                        ratio(free.memoryMib(), demand.memoryMib()),
-                        ratio(free.accelerators(), demand.accelerators())));
-    }
-
-    private static double ratio(long free, long demand) {
-        return demand <= 0 ? Double.MAX_VALUE : (double) free / demand;
+        return Amounts.part(demand, b) > Amounts.part(demand, a) ? b : a;
     }
 
     static String text(Resources r) {
--- a/library/src/main/java/io/radishspindle/placement/internal/FairPass.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/FairPass.java
@@ -7,7 +7,8 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Starts waiting tasks of one class, always for the team that uses the smallest part of its quota. Within a team the
+ * Starts waiting tasks of one class, always for the team that uses the smallest part of its quota; waiting counts in
+ * favour of a team. Within a team the
  * oldest job goes first. Not thread-safe.
  *
  * <p>Free resources only shrink during a pass, so a bucket that finds no worker is not tried again in it, and one pass
@@ -20,6 +21,11 @@
         WorkerState choose(JobState job);
     }
 
+    /**
+     * Waiting this long outweighs one quota. Without ageing a team with a burst waits until all others are idle, and
+     * the longest waits exceed those of first-come first-served.
+     */
+    private static final double AGING_MS = 120_000;
     /** Bounds the search for a job that may run beside the reservations. */
     private static final int MAX_TRIED_PER_BUCKET = 8;
 
@@ -65,7 +71,7 @@
         Candidate next = teams.poll();
         while (next != null) {
             if (startOne(next, chooser)) {
-                next.share = next.team.share(context.policy);
+                next.share = priority(next);
                 teams.add(next);
             }
             next = teams.poll();
@@ -79,10 +85,21 @@
                 candidate.buckets.add(bucket);
             }
         }
-        candidate.share = team.share(context.policy);
+        candidate.share = priority(candidate);
         return candidate;
     }
 
+    /** The share of the team, lowered by the time that its oldest job has waited. */
+    private double priority(Candidate candidate) {
+        double share = candidate.team.share(context.policy);
+        if (candidate.cursor >= candidate.buckets.size()) {
+            return share;
+        }
+        Bucket bucket = candidate.buckets.get(candidate.cursor);
+        long waitedMs = bucket.jobs.isEmpty() ? 0 : context.nowMs - bucket.head().acceptedAtMs;
+        return share - (double) waitedMs / AGING_MS;
+    }
+
     private boolean startOne(Candidate candidate, Chooser chooser) {
         while (candidate.cursor < candidate.buckets.size()) {
             if (startFrom(candidate.buckets.get(candidate.cursor), chooser)) {
--- a/library/src/main/java/io/radishspindle/placement/internal/Placer.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/Placer.java
@@ -1,6 +1,7 @@
 package io.radishspindle.placement.internal;
 
 import io.radishspindle.model.JobClass;
+import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -24,6 +25,9 @@
     private final FairPass fair;
     private final GiveBack giveBack;
     private long nextIdlePassAtMs;
+    private long pass;
+    /** Tasks that need accelerators wait, so others leave room beside idle accelerators. */
+    private boolean acceleratorsWanted;
 
     Placer(Parts parts) {
         this.context = parts.context;
@@ -44,12 +48,15 @@
         }
         queues.changed = false;
         nextIdlePassAtMs = context.nowMs + IDLE_PASS_AFTER_MS;
+        pass++;
         rooms.clear();
         reservations.refresh();
         urgent.run();
+        giveBack.settleClaims();
         fair.run(queues.of(JobClass.SERVICE), this::chooseForService);
         gangs.run();
         reserveForPassedBy();
+        acceleratorsWanted = queues.shapes.isAnyWithAccelerators();
         fair.run(queues.of(JobClass.BATCH), this::chooseForBatch);
         giveBack.run();
     }
@@ -77,7 +84,9 @@
     }
 
     private @Nullable WorkerState chooseForBatch(JobState job) {
-        return chosen(job, workers.bestFit(job.demand, worker -> reservations.allows(job, worker)));
+        Predicate<WorkerState> allowed = worker -> reservations.allows(job, worker)
+                && (!acceleratorsWanted || WorkerTable.leavesAcceleratorsUsable(worker, job.demand));
+        return chosen(job, workers.bestFit(job.demand, allowed));
     }
 
     private @Nullable WorkerState chosen(JobState job, @Nullable WorkerState worker) {
@@ -91,8 +100,17 @@
 
     /** Remembers a size that fits nowhere even without earmarks and reservations. */
     private void blockIfNowhere(JobState job) {
-        if (job.bucket != null && !rooms.hasEarmarks() && workers.bestFit(job.demand, w -> true) == null) {
-            queues.shapes.block(job.bucket.shape);
+        Bucket bucket = job.bucket;
+        if (bucket != null && !bucket.shape.isKnownToFit(pass) && !rooms.hasEarmarks()) {
+            blockOrRemember(bucket.shape);
+        }
+    }
+
+    private void blockOrRemember(Shape shape) {
+        if (workers.bestFit(shape.demand, w -> true) == null) {
+            queues.shapes.block(shape);
+        } else {
+            shape.noteFits(pass);
         }
     }
 
--- a/library/src/main/java/io/radishspindle/placement/internal/RoomMaker.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/RoomMaker.java
@@ -41,8 +41,9 @@
         return !earmarked.isEmpty();
     }
 
-    /** Keeps room for a task, stopping attempts if necessary. Returns whether there will be room. */
-    boolean makeRoom(Resources demand, Predicate<Attempt> mayStop, StopReason reason) {
+    /** Keeps room for a task, stopping attempts if necessary; null if there can be none. */
+    @Nullable
+    WorkerState makeRoom(Resources demand, Predicate<Attempt> mayStop, StopReason reason) {
         Plan best = null;
         for (WorkerState worker : workers.all()) {
             if (!worker.isUsable() || !demand.fitsIn(worker.info.capacity())) {
@@ -54,13 +55,37 @@
             }
         }
         if (best == null) {
-            return false;
+            return null;
         }
-        WorkerState worker = best.worker();
+        earmark(best.worker(), demand);
+        best.victims().forEach(victim -> stopper.stop(victim, reason));
+        return best.worker();
+    }
+
+    void earmark(WorkerState worker, Resources demand) {
         worker.earmarked = worker.earmarked.plus(demand);
         earmarked.add(worker);
-        best.victims().forEach(victim -> stopper.stop(victim, reason));
-        return true;
+    }
+
+    /**
+     * Keeps what becomes free on one worker for a task for which nothing may be stopped. Otherwise smaller tasks would
+     * take each part that becomes free.
+     */
+    void hold(Resources demand) {
+        WorkerState best = null;
+        double largest = -Double.MAX_VALUE;
+        for (WorkerState worker : workers.all()) {
+            if (worker.isUsable() && demand.fitsIn(worker.info.capacity())) {
+                double part = Amounts.part(demand, worker.freeForOthers().plus(worker.stopping));
+                if (part > largest) {
+                    best = worker;
+                    largest = part;
+                }
+            }
+        }
+        if (best != null) {
+            earmark(best, demand);
+        }
     }
 
     private @Nullable Plan plan(WorkerState worker, Resources demand, Predicate<Attempt> mayStop) {
--- a/library/src/main/java/io/radishspindle/placement/internal/Shape.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/Shape.java
@@ -12,12 +12,22 @@
 
     private long pass;
     private long shortestFailedMs;
+    private long fitsInPass;
     int users;
 
     Shape(Resources demand) {
         this.demand = demand;
     }
 
+    /** Remembers that the size fits on some worker, though a reservation or the like keeps it out in this pass. */
+    void noteFits(long inPass) {
+        fitsInPass = inPass;
+    }
+
+    boolean isKnownToFit(long inPass) {
+        return fitsInPass == inPass;
+    }
+
     /** Remembers that a job with this run time found no worker in the given pass. */
     void noteFailed(long inPass, long runMs) {
         shortestFailedMs = pass == inPass ? Math.min(shortestFailedMs, runMs) : runMs;
--- a/library/src/main/java/io/radishspindle/placement/internal/Shapes.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/Shapes.java
@@ -14,10 +14,13 @@
 final class Shapes {
     private final Map<Resources, Shape> byDemand = new HashMap<>();
     private final Set<Shape> blocked = new LinkedHashSet<>();
+    private int withAccelerators;
 
     Shape acquire(Resources demand) {
         Shape shape = byDemand.computeIfAbsent(demand, Shape::new);
-        shape.users++;
+        if (shape.users++ == 0 && demand.accelerators() > 0) {
+            withAccelerators++;
+        }
         return shape;
     }
 
@@ -25,10 +28,15 @@
         shape.users--;
         if (shape.users == 0) {
             byDemand.remove(shape.demand);
+            withAccelerators -= shape.demand.accelerators() > 0 ? 1 : 0;
             blocked.remove(shape);
         }
     }
 
+    boolean isAnyWithAccelerators() {
+        return withAccelerators > 0;
+    }
+
     void block(Shape shape) {
         shape.blocked = true;
         blocked.add(shape);
--- a/library/src/main/java/io/radishspindle/placement/internal/UrgentPass.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/UrgentPass.java
@@ -59,7 +59,8 @@
             }
         }
         for (int i = 0; i < wanted; i++) {
-            if (!rooms.makeRoom(bucket.demand, UrgentPass::isBatch, StopReason.URGENT)) {
+            if (rooms.makeRoom(bucket.demand, UrgentPass::isBatch, StopReason.URGENT) == null) {
+                rooms.hold(bucket.demand);
                 return i + 1;
             }
         }
--- a/library/src/main/java/io/radishspindle/placement/internal/WorkerTable.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/WorkerTable.java
@@ -100,6 +100,22 @@
         return bestInTier(tiers.get(1), demand, allowed);
     }
 
+    /**
+     * Whether a task without accelerators leaves the cores and memory that the free accelerators of a worker will need:
+     * for each of them a quarter of its part of the worker.
+     */
+    static boolean leavesAcceleratorsUsable(WorkerState worker, Resources demand) {
+        Resources capacity = worker.info.capacity();
+        long idle = worker.free.accelerators();
+        if (demand.accelerators() > 0 || idle <= 0) {
+            return true;
+        }
+        long shares = 4L * capacity.accelerators();
+        Resources left = worker.free.minus(demand);
+        return left.milliCores() >= capacity.milliCores() * idle / shares
+                && left.memoryMib() >= capacity.memoryMib() * idle / shares;
+    }
+
     private @Nullable WorkerState bestInTier(
             List<TreeSet<WorkerState>> tier, Resources demand, Predicate<WorkerState> allowed) {
         WorkerState best = null;
