--- a/library/src/main/java/io/radishspindle/placement/internal/FairPass.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/FairPass.java
@@ -25,7 +25,7 @@
      * Waiting this long outweighs one quota. Without ageing a team with a burst waits until all others are idle, and
      * the longest waits exceed those of first-come first-served.
      */
-    private static final double AGING_MS = 120_000;
+    private static final double AGING_MS = 30_000;
     /** Bounds the search for a job that may run beside the reservations. */
     private static final int MAX_TRIED_PER_BUCKET = 8;
 
--- a/library/src/main/java/io/radishspindle/placement/internal/Placer.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/Placer.java
@@ -13,7 +13,7 @@
 final class Placer {
     private static final long IDLE_PASS_AFTER_MS = 1_000;
     /** A task that smaller ones pass by this long gets a reservation. */
-    private static final long RESERVE_AFTER_MS = 10_000;
+    private static final long RESERVE_AFTER_MS = 60_000;
 
     private final Context context;
     private final Queues queues;
