Lift throttles, index the jobs of a family

Cause: a throttled task stayed throttled after its worker had room again; each failure of a family that always fails went through all jobs of the group.

Change: Overuse sends UNTHROTTLE and raises the charge once the worker has the missing cores; a family knows its jobs. Tests for throttling, memory overuse and the room held for urgent work.

--- a/library/src/main/java/io/radishspindle/placement/internal/Attempt.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/Attempt.java
@@ -23,7 +23,8 @@
 
     boolean stopSent;
     Resources peak = Resources.NONE;
-    boolean throttled;
+    /** Milli-cores that a throttled attempt lacks; 0 if it is not throttled. */
+    long throttledBy;
 
     Attempt(TaskAttempt id, @Nullable JobState job, WorkerState worker, Resources charged, long startedAtMs) {
         this.id = id;
--- a/library/src/main/java/io/radishspindle/placement/internal/FailurePolicy.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/FailurePolicy.java
@@ -17,13 +17,11 @@
     private static final int FULL_BUDGET_TASKS = 4;
 
     private final Context context;
-    private final Jobs jobs;
     private final Queues queues;
     private final Lifecycle lifecycle;
 
     FailurePolicy(Parts parts) {
         this.context = parts.context;
-        this.jobs = parts.jobs;
         this.queues = parts.queues;
         this.lifecycle = parts.lifecycle;
     }
@@ -79,9 +77,9 @@
     }
 
     private void setAside(Family family) {
-        for (JobState job : new ArrayList<>(jobs.active())) {
-            boolean member = job.spec.family().equals(family.name) && job.spec.jobClass() != JobClass.SERVICE;
-            if (member && job.totalFailures > 0 && job.count(TaskPhase.SUCCEEDED) == 0) {
+        for (JobState job : new ArrayList<>(family.jobs)) {
+            boolean service = job.spec.jobClass() == JobClass.SERVICE;
+            if (!service && job.totalFailures > 0 && job.count(TaskPhase.SUCCEEDED) == 0) {
                 lifecycle.abandon(job, JobStatus.Phase.SET_ASIDE, family.failureSummary());
             }
         }
--- a/library/src/main/java/io/radishspindle/placement/internal/Family.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/Family.java
@@ -21,6 +21,9 @@
     private static final int SET_ASIDE_WORKERS = 2;
 
     final String name;
+    /** Jobs of the family that are not over. */
+    final Set<JobState> jobs = new LinkedHashSet<>();
+
     private final Deque<Resources> peaks = new ArrayDeque<>();
     private final Deque<Long> runTimes = new ArrayDeque<>();
     private final Set<String> failedJobs = new LinkedHashSet<>();
--- a/library/src/main/java/io/radishspindle/placement/internal/Lifecycle.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/Lifecycle.java
@@ -44,6 +44,7 @@
     private JobState register(JobSpec spec) {
         JobState job = new JobState(spec, families.of(spec.family()), jobs.nextSequence(), context.nowMs);
         jobs.add(job);
+        job.family.jobs.add(job);
         queues.noteJob(job);
         return job;
     }
@@ -205,6 +206,7 @@
             return true;
         }
         queues.noteRemoved(job);
+        job.family.jobs.remove(job);
         JobStatus status = explainer.finalStatus(job);
         jobs.end(job, status);
         context.emit(new PlacementAction.RecordJobEnd(job.spec.id(), status.phase(), status.explanation()));
--- a/library/src/main/java/io/radishspindle/placement/internal/Overuse.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/Overuse.java
@@ -21,6 +21,9 @@
     }
 
     void note(Attempt attempt, Resources used) {
+        if (attempt.throttledBy > 0) {
+            unthrottle(attempt);
+        }
         Resources needed = Family.max(attempt.charged, new Resources(used.milliCores(), used.memoryMib(), 0));
         if (needed.equals(attempt.charged)) {
             return;
@@ -47,10 +50,21 @@
         }
         if (missing.memoryMib() > 0) {
             stopper.stop(attempt, StopReason.OVERUSE);
-        } else if (!attempt.throttled && context.mayStart) {
-            attempt.throttled = true;
+        } else if (attempt.throttledBy == 0 && context.mayStart) {
+            attempt.throttledBy = missing.milliCores();
             String reason = "uses " + missing.milliCores() + " milli-cores more than its worker has left";
             context.emit(new PlacementAction.CommandTask(attempt.id, attempt.worker.id, Command.THROTTLE, reason));
         }
     }
+
+    /** Lifts the throttle when the worker has room again for what the attempt lacked. */
+    private void unthrottle(Attempt attempt) {
+        if (attempt.worker.free.milliCores() < attempt.throttledBy || !context.mayStart) {
+            return;
+        }
+        ledger.raise(attempt, attempt.charged.plus(new Resources(attempt.throttledBy, 0, 0)));
+        attempt.throttledBy = 0;
+        String reason = "its worker has room again";
+        context.emit(new PlacementAction.CommandTask(attempt.id, attempt.worker.id, Command.UNTHROTTLE, reason));
+    }
 }
--- a/library/src/test/java/io/radishspindle/placement/ClassPoliciesTest.java
+++ b/library/src/test/java/io/radishspindle/placement/ClassPoliciesTest.java
@@ -195,4 +195,23 @@
         assertThat(group.core.totals().queuedTasks()).isZero();
         assertThat(group.all(RecordAttempt.class)).hasSize(2).allMatch(RecordAttempt::taskCompleted);
     }
+
+    /** Guards against an urgent task that smaller tasks pass by where nothing may be stopped. */
+    @Test
+    void should_hold_room_for_urgent_work_where_nothing_may_be_stopped() {
+        // given
+        group.claimAll(1, 1, cores(2));
+        group.accept(job("first", JobClass.ALL_AT_ONCE, 1, cores(1)));
+        group.accept(job("second", JobClass.ALL_AT_ONCE, 1, cores(1)));
+        group.tick(0);
+        group.accept(job("urgent", JobClass.URGENT, 1, cores(2)));
+        group.accept(job("later", JobClass.BATCH, 1, cores(1)));
+        // when
+        group.end(group.live("first").get(0), TaskOutcome.SUCCEEDED);
+        group.run(1_000, 0);
+        group.end(group.live("second").get(0), TaskOutcome.SUCCEEDED);
+        group.run(1_000, 0);
+        // then
+        assertThat(group.live("urgent")).hasSize(1);
+    }
 }
--- a/library/src/test/java/io/radishspindle/placement/FairShareTest.java
+++ b/library/src/test/java/io/radishspindle/placement/FairShareTest.java
@@ -10,7 +10,11 @@
 import io.radishspindle.model.JobClass;
 import io.radishspindle.model.JobSpec;
 import io.radishspindle.model.Resources;
+import io.radishspindle.model.TaskAttempt;
+import io.radishspindle.model.TaskOutcome;
+import io.radishspindle.placement.PlacementAction.CommandTask;
 import io.radishspindle.placement.PlacementAction.StartTask;
+import io.radishspindle.platform.WorkerClient;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -101,7 +105,7 @@
         group.accept(Fixtures.ofFamily(job("one", JobClass.BATCH, 1, cores(1)), "family", 1));
         group.tick(0);
         group.send(new PlacementEvent.UsageReported(group.live("one").get(0), new Resources(3_000, 500, 0)));
-        group.end(group.live("one").get(0), io.radishspindle.model.TaskOutcome.SUCCEEDED);
+        group.end(group.live("one").get(0), TaskOutcome.SUCCEEDED);
         // when
         group.accept(Fixtures.ofFamily(job("two", JobClass.BATCH, 3, cores(1)), "family", 1));
         group.tick(50);
@@ -109,4 +113,37 @@
         assertThat(group.live("two")).hasSize(2);
         assertThat(group.all(StartTask.class).get(1).reserved()).isEqualTo(new Resources(3_000, 1_024, 0));
     }
+
+    /** Guards against a worker whose processors are overloaded, and against a throttle that is never lifted. */
+    @Test
+    void should_throttle_a_batch_task_only_while_its_worker_lacks_cores() {
+        // given
+        group.claimAll(1, 1, cores(2));
+        group.accept(job("one", JobClass.BATCH, 1, cores(1)));
+        group.accept(job("two", JobClass.BATCH, 1, cores(1)));
+        group.tick(0);
+        TaskAttempt greedy = group.live("one").get(0);
+        // when
+        group.send(new PlacementEvent.UsageReported(greedy, new Resources(2_000, 100, 0)));
+        group.end(group.live("two").get(0), TaskOutcome.SUCCEEDED);
+        group.send(new PlacementEvent.UsageReported(greedy, new Resources(1_000, 100, 0)));
+        // then
+        assertThat(group.all(CommandTask.class).stream().map(CommandTask::command))
+                .containsExactly(WorkerClient.Command.THROTTLE, WorkerClient.Command.UNTHROTTLE);
+        assertThat(group.core.totals().free().milliCores()).isZero();
+    }
+
+    /** Guards against overuse of memory that ends in the death of other tasks. */
+    @Test
+    void should_stop_a_batch_task_that_uses_more_memory_than_is_left() {
+        // given
+        group.claimAll(1, 1, cores(2));
+        group.accept(job("one", JobClass.BATCH, 2, cores(1)));
+        group.tick(0);
+        // when
+        group.send(new PlacementEvent.UsageReported(group.live("one").get(0), new Resources(100, 1_500, 0)));
+        // then
+        assertThat(group.all(CommandTask.class)).hasSize(1).allMatch(c -> c.reason()
+                .contains("memory"));
+    }
 }
