--- a/library/src/main/java/io/radishspindle/routing/OutlierDetector.java
+++ b/library/src/main/java/io/radishspindle/routing/OutlierDetector.java
@@ -11,6 +11,9 @@
     private static final int MAX_CONSECUTIVE_FAILURES = 5;
     private static final double LATENCY_FACTOR = 3;
     private static final int MIN_LATENCY_SAMPLES = 10;
+    /** Samples that condemn an executor that returns from an ejection; each one costs a caller a slow answer. */
+    private static final int MIN_RETURN_SAMPLES = 3;
+
     private static final int MIN_EXECUTORS_FOR_MEDIAN = 3;
     /** Below this latency an executor is never slow, in milliseconds; hides the noise of very short requests. */
     private static final double MIN_SLOW_MS = 20;
@@ -70,11 +73,13 @@
     }
 
     private boolean isSlow(EndpointState executor) {
-        if (executor.latencySamples < MIN_LATENCY_SAMPLES || executor.latencyMs < MIN_SLOW_MS) {
+        boolean returning = executor.rampSlots != Integer.MAX_VALUE;
+        int needed = returning ? MIN_RETURN_SAMPLES : MIN_LATENCY_SAMPLES;
+        if (executor.latencySamples < needed || executor.latencyMs < MIN_SLOW_MS) {
             return false;
         }
         double[] latencies = executors.stream()
-                .filter(e -> e.latencySamples >= MIN_LATENCY_SAMPLES)
+                .filter(e -> e == executor || e.latencySamples >= MIN_LATENCY_SAMPLES)
                 .mapToDouble(e -> e.latencyMs)
                 .sorted()
                 .toArray();
