--- a/library/src/main/java/io/radishspindle/config/PeerPuller.java
+++ b/library/src/main/java/io/radishspindle/config/PeerPuller.java
@@ -77,7 +77,8 @@
                 .filter(vm -> vm.configRevision() > haveRevision && vm.liveness() != Liveness.DEAD)
                 .filter(vm -> !vm.id().equals(view.self().id()))
                 .filter(vm -> remoteToo || vm.dataCentre().equals(own))
-                .sorted(Comparator.comparing((EntryVm vm) -> !vm.dataCentre().equals(own))
+                .sorted(Comparator.comparing((EntryVm vm) -> vm.liveness() == Liveness.SUSPECT)
+                        .thenComparing(vm -> !vm.dataCentre().equals(own))
                         .thenComparing(EntryVm::configRevision, Comparator.reverseOrder())
                         .thenComparing(EntryVm::id))
                 .toList();
