--- a/demo-runner/src/main/java/io/radishspindle/demo/Capacity.java
+++ b/demo-runner/src/main/java/io/radishspindle/demo/Capacity.java
@@ -15,8 +15,8 @@
 import net.sourceforge.argparse4j.inf.Namespace;
 
 /**
- * Measures what one entry daemon costs by number of workers, peers, task starts, running tasks and requests, and prints
- * the slopes from which docs/CAPACITY.md is worked out. Single-threaded but for the load.
+ * Measures what one entry daemon costs by number of workers, peers, task starts, running tasks and requests, and
+ * prints the slopes from which docs/CAPACITY.md is worked out. Single-threaded but for the load.
  */
 public final class Capacity {
     private static final int FIRST_PORT = 24_000;
--- a/library/src/main/java/io/radishspindle/config/StoreFollower.java
+++ b/library/src/main/java/io/radishspindle/config/StoreFollower.java
@@ -12,9 +12,9 @@
 /**
  * Follows the document in the store: one read, then a watch that is renewed for ever. Deterministic; not thread-safe.
  *
- * <p>A dead watch and a quiet one look the same. Therefore a watch that has been quiet for {@link #QUIET_MS} is checked
- * by one read, and replaced if the read finds what the watch should have reported. The time is shorter than 5 s because
- * a change has to be in force everywhere within 5 s also when a watch is dead.
+ * <p>A dead watch and a quiet one look the same. Therefore a watch that has been quiet for {@link #QUIET_MS} is
+ * checked by one read, and replaced if the read finds what the watch should have reported. The time is shorter than
+ * 5 s because a change has to be in force everywhere within 5 s also when a watch is dead.
  */
 final class StoreFollower {
     static final long QUIET_MS = 3_000;
--- a/library/src/main/java/io/radishspindle/idempotency/BucketWriter.java
+++ b/library/src/main/java/io/radishspindle/idempotency/BucketWriter.java
@@ -17,8 +17,8 @@
  * Group commit to one bucket: operations collected for a while are read, changed and written together. Belongs to one
  * event loop; not thread-safe.
  *
- * <p>Invariants: at most one read or write of the bucket is open; an operation finishes only after a read has shown its
- * effect or a write with it has succeeded.
+ * <p>Invariants: at most one read or write of the bucket is open; an operation finishes only after a read has shown
+ * its effect or a write with it has succeeded.
  */
 final class BucketWriter {
     private static final String STEP = "idempotency.write";
--- a/library/src/main/java/io/radishspindle/idempotency/KeyedRequests.java
+++ b/library/src/main/java/io/radishspindle/idempotency/KeyedRequests.java
@@ -9,7 +9,8 @@
 import java.util.Optional;
 
 /**
- * Records requests with an Idempotency-Key, so that each runs at most once at any VM. The returned futures never fail.
+ * Records requests with an Idempotency-Key, so that each runs at most once at any VM. The returned futures never
+ * fail.
  *
  * <p>Invariant: while a record is kept, at most one claim of a key that is not released is ever granted.
  */
--- a/library/src/main/java/io/radishspindle/model/TaskAttempt.java
+++ b/library/src/main/java/io/radishspindle/model/TaskAttempt.java
@@ -1,8 +1,8 @@
 package io.radishspindle.model;
 
 /**
- * One attempt to run a task. Immutable and thread-safe. The epoch makes attempts of successive owners distinct without
- * a store write per start.
+ * One attempt to run a task. Immutable and thread-safe. The epoch makes attempts of successive owners distinct
+ * without a store write per start.
  *
  * @param epoch epoch of the group owner that started the attempt
  * @param number number of the attempt within the epoch, from 1
--- a/library/src/main/java/io/radishspindle/ownership/Caretaker.java
+++ b/library/src/main/java/io/radishspindle/ownership/Caretaker.java
@@ -15,8 +15,8 @@
  * Keeps the tasks of a group running while its owner is gone and the store does not answer. Not thread-safe.
  *
  * <p>Invariants: it sends claims with the epoch of the record and a term above zero, and renewals of run leases; it
- * renews only while a majority of every worker set in force has answered its term within a control lease. Workers that
- * restarted refuse a term of an epoch that they don't know, so that they never count for the majority.
+ * renews only while a majority of every worker set in force has answered its term within a control lease. Workers
+ * that restarted refuse a term of an epoch that they don't know, so that they never count for the majority.
  */
 final class Caretaker {
     private static final class Peer {
--- a/library/src/main/java/io/radishspindle/ownership/CertainWrite.java
+++ b/library/src/main/java/io/radishspindle/ownership/CertainWrite.java
@@ -10,10 +10,10 @@
 /**
  * One compare-and-swap that is repeated until its outcome is known. Not thread-safe.
  *
- * <p>A write whose answer was lost may still take effect later. Reading an older version therefore proves nothing; the
- * same write is repeated until it succeeds or conflicts, so that at most one of the copies can apply. A conflict after
- * a lost answer is certain only if the value carries the own change id: another writer may have read this write before
- * it replaced the value.
+ * <p>A write whose answer was lost may still take effect later. Reading an older version therefore proves nothing;
+ * the same write is repeated until it succeeds or conflicts, so that at most one of the copies can apply. A
+ * conflict after a lost answer is certain only if the value carries the own change id: another writer may have read
+ * this write before it replaced the value.
  */
 final class CertainWrite {
     /** What became of the write. */
--- a/library/src/main/java/io/radishspindle/ownership/GroupCore.java
+++ b/library/src/main/java/io/radishspindle/ownership/GroupCore.java
@@ -26,7 +26,8 @@
  * One group as one entry VM sees it: nobody's, another's, in this VM's ownership or in its care. Not thread-safe.
  *
  * <p>Invariants: the store is the only arbiter, so a VM becomes owner only by a write of the record that is known to
- * have applied; a VM is never owner and caretaker at once; an ended {@link Owner} is replaced by one of a higher epoch.
+ * have applied; a VM is never owner and caretaker at once; an ended {@link Owner} is replaced by one of a higher
+ * epoch.
  */
 final class GroupCore implements Owner.Listener {
     private static final long CHANGE_CHECK_MS = 1_000;
--- a/library/src/main/java/io/radishspindle/ownership/Journal.java
+++ b/library/src/main/java/io/radishspindle/ownership/Journal.java
@@ -10,8 +10,8 @@
  * Journal of one group in the hands of its owner: group commit into a ring of segments, and snapshots. Not
  * thread-safe.
  *
- * <p>Invariants: at most one write is under way; an entry is reported as durable only after the write that holds it is
- * known to have applied; a slot is reused only after a snapshot that covers its segment.
+ * <p>Invariants: at most one write is under way; an entry is reported as durable only after the write that holds it
+ * is known to have applied; a slot is reused only after a snapshot that covers its segment.
  */
 final class Journal {
     /** What became of an entry. */
--- a/library/src/main/java/io/radishspindle/ownership/Owner.java
+++ b/library/src/main/java/io/radishspindle/ownership/Owner.java
@@ -26,9 +26,9 @@
 /**
  * A VM that holds an epoch of a group. Not thread-safe; one object per epoch, never revived.
  *
- * <p>Invariants: renewals, starts and stops are sent only while a majority of every worker set that may be in force has
- * answered messages of this epoch that were sent less than a control lease ago; once that authority has been gained and
- * lost again, the object ends, and the VM must raise the epoch to own the group again.
+ * <p>Invariants: renewals, starts and stops are sent only while a majority of every worker set that may be in force
+ * has answered messages of this epoch that were sent less than a control lease ago; once that authority has been
+ * gained and lost again, the object ends, and the VM must raise the epoch to own the group again.
  */
 final class Owner implements WorkerLink.Listener, JobDesk.Commands {
     /** Told that the object has ended. */
--- a/library/src/main/java/io/radishspindle/ownership/RecordCodec.java
+++ b/library/src/main/java/io/radishspindle/ownership/RecordCodec.java
@@ -11,8 +11,8 @@
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
 /**
- * Writes records of this package as MessagePack. Thread-safe. Records are written as arrays where many of them share a
- * value, because every byte may cross regions; fields may therefore only be appended.
+ * Writes records of this package as MessagePack. Thread-safe. Records are written as arrays where many of them
+ * share a value, because every byte may cross regions; fields may therefore only be appended.
  */
 final class RecordCodec {
     private static final ObjectMapper MAPPER = mapper();
--- a/library/src/main/java/io/radishspindle/ownership/WorkerLink.java
+++ b/library/src/main/java/io/radishspindle/ownership/WorkerLink.java
@@ -20,9 +20,9 @@
  * unconfirmed starts took effect; starts are sent only to a worker that has answered a claim of this epoch and every
  * message since; a message with starts is never repeated.
  *
- * <p>A worker that restarted has forgotten which epoch it has seen. Claiming it would undo the fence of a later owner.
- * Therefore a worker that answers with a lower epoch is claimed only shortly after the store has confirmed the epoch,
- * and a claim after a lost answer is preceded by a message that a restarted worker refuses.
+ * <p>A worker that restarted has forgotten which epoch it has seen. Claiming it would undo the fence of a later
+ * owner. Therefore a worker that answers with a lower epoch is claimed only shortly after the store has confirmed
+ * the epoch, and a claim after a lost answer is preceded by a message that a restarted worker refuses.
  */
 final class WorkerLink {
     /** What the next message must be. */
--- a/library/src/main/java/io/radishspindle/placement/FairSharePlacement.java
+++ b/library/src/main/java/io/radishspindle/placement/FairSharePlacement.java
@@ -9,8 +9,8 @@
 import java.util.Optional;
 
 /**
- * The placement policy of the product: classes, fair share with quotas, gangs with reservations, best fit, quarantine.
- * Not thread-safe; one instance belongs to the event loop of one group's owner.
+ * The placement policy of the product: classes, fair share with quotas, gangs with reservations, best fit,
+ * quarantine. Not thread-safe; one instance belongs to the event loop of one group's owner.
  *
  * <p>The same events at the same times give the same actions. Unknown, stale and repeated events change nothing.
  */
@@ -20,7 +20,8 @@
     /**
      * Creates a core without workers, jobs and authority.
      *
-     * @param seed part of the contract of all decision cores; this policy breaks ties by id and draws no random numbers
+     * @param seed part of the contract of all decision cores; this policy breaks ties by id and draws no random
+     *     numbers
      * @param policy the settings until the first {@link PlacementEvent.PolicyChanged}
      */
     public FairSharePlacement(long seed, PlacementPolicy policy) {
--- a/library/src/main/java/io/radishspindle/placement/GroupPlacement.java
+++ b/library/src/main/java/io/radishspindle/placement/GroupPlacement.java
@@ -9,8 +9,8 @@
 import java.util.Optional;
 
 /**
- * Decision core for one group of workers. Implementations are deterministic, do no I/O and read no clock; they are not
- * thread-safe and belong to the event loop of the group's owner.
+ * Decision core for one group of workers. Implementations are deterministic, do no I/O and read no clock; they are
+ * not thread-safe and belong to the event loop of the group's owner.
  *
  * <p>Invariants: the resources charged to a worker never exceed its capacity; a task has at most one attempt that is
  * started, running or open.
--- a/library/src/main/java/io/radishspindle/placement/internal/FailurePolicy.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/FailurePolicy.java
@@ -65,8 +65,8 @@
 
     /**
      * Whether a failed task is not tried again: it has used its attempts, or its job has used its retry budget. Each
-     * task of a small job may use all its attempts; a large job may retry as often as a quarter of its tasks could, so
-     * that a faulty job of many tasks costs little more than one attempt per task.
+     * task of a small job may use all its attempts; a large job may retry as often as a quarter of its tasks could,
+     * so that a faulty job of many tasks costs little more than one attempt per task.
      */
     private static boolean isExhausted(JobState job, int index) {
         int maxAttempts = job.spec.maxAttempts();
--- a/library/src/main/java/io/radishspindle/placement/internal/FairPass.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/FairPass.java
@@ -10,8 +10,8 @@
  * Starts waiting tasks of one class, always for the team that uses the smallest part of its quota. Within a team the
  * oldest job goes first. Not thread-safe.
  *
- * <p>Free resources only shrink during a pass, so a bucket that finds no worker is not tried again in it, and one pass
- * looks at each bucket once beside the tasks it starts.
+ * <p>Free resources only shrink during a pass, so a bucket that finds no worker is not tried again in it, and one
+ * pass looks at each bucket once beside the tasks it starts.
  */
 final class FairPass {
     /** Chooses a worker for the next task of a job; null if there is none at present. */
--- a/library/src/main/java/io/radishspindle/placement/internal/JobState.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/JobState.java
@@ -14,8 +14,8 @@
 /**
  * A job and the state of its tasks. Not thread-safe.
  *
- * <p>Invariants: each task is in exactly one phase and {@code counts} holds the number of tasks per phase; a task is in
- * phase {@code LIVE} if and only if {@code live} holds its attempt.
+ * <p>Invariants: each task is in exactly one phase and {@code counts} holds the number of tasks per phase; a task
+ * is in phase {@code LIVE} if and only if {@code live} holds its attempt.
  */
 final class JobState {
     final JobSpec spec;
--- a/library/src/main/java/io/radishspindle/placement/internal/Ledger.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/Ledger.java
@@ -11,8 +11,8 @@
 /**
  * The only place where resources are charged and released. Not thread-safe.
  *
- * <p>Invariants, checked on each change: the charges of a worker do not exceed its capacity through a start; a task has
- * at most one live attempt; the running count equals the number of charged attempts that belong to a job.
+ * <p>Invariants, checked on each change: the charges of a worker do not exceed its capacity through a start; a task
+ * has at most one live attempt; the running count equals the number of charged attempts that belong to a job.
  */
 final class Ledger {
     private final Context context;
--- a/library/src/main/java/io/radishspindle/placement/internal/Reservation.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/Reservation.java
@@ -6,8 +6,8 @@
 /**
  * Room that will be kept for a waiting job on some workers from {@code shadowAtMs}. Not thread-safe.
  *
- * <p>{@code slack} is what is left on each of these workers at that time beside the job; tasks that run longer may use
- * it.
+ * <p>{@code slack} is what is left on each of these workers at that time beside the job; tasks that run longer may
+ * use it.
  */
 final class Reservation {
     final JobState job;
--- a/library/src/main/java/io/radishspindle/placement/internal/Reservations.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/Reservations.java
@@ -11,8 +11,8 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Reservations for jobs that need more room than is free at once: gangs, and single tasks that smaller ones would pass
- * by for ever. Not thread-safe.
+ * Reservations for jobs that need more room than is free at once: gangs, and single tasks that smaller ones would
+ * pass by for ever. Not thread-safe.
  *
  * <p>Invariant: a worker is part of at most one reservation, and there are at most {@link #MAX_RESERVATIONS}.
  */
--- a/library/src/main/java/io/radishspindle/placement/internal/WorkerTable.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/WorkerTable.java
@@ -13,9 +13,9 @@
 /**
  * The workers of the group, indexed by the magnitude of their free processor time. Not thread-safe.
  *
- * <p>Invariant: a usable worker is at the level of its free processor time in the index of its tier; other workers are
- * in no index. Workers without accelerators form the first tier, the others the second, so that accelerators are kept
- * for tasks that need them.
+ * <p>Invariant: a usable worker is at the level of its free processor time in the index of its tier; other workers
+ * are in no index. Workers without accelerators form the first tier, the others the second, so that accelerators
+ * are kept for tasks that need them.
  */
 final class WorkerTable {
     /** Up to this many workers all levels are compared; beyond it the search ends at the first level with a fit. */
@@ -123,8 +123,8 @@
     }
 
     /**
-     * How much of the worker would stay unused, with a penalty for leaving unlike parts of processors and memory, which
-     * later tasks could not use together. A worker that has just failed tasks is used last.
+     * How much of the worker would stay unused, with a penalty for leaving unlike parts of processors and memory,
+     * which later tasks could not use together. A worker that has just failed tasks is used last.
      */
     static double leftover(WorkerState worker, Resources demand) {
         Resources capacity = worker.info.capacity();
--- a/library/src/main/java/io/radishspindle/platform/http/HttpExecutorClient.java
+++ b/library/src/main/java/io/radishspindle/platform/http/HttpExecutorClient.java
@@ -16,8 +16,8 @@
 /**
  * Sends requests to executors over HTTP/1.1. Thread-safe.
  *
- * <p>A failure has {@code notRun} true only if no byte of the request was sent. Headers that concern one connection are
- * not passed on in either direction.
+ * <p>A failure has {@code notRun} true only if no byte of the request was sent. Headers that concern one connection
+ * are not passed on in either direction.
  */
 public final class HttpExecutorClient implements ExecutorClient {
     /** Connections that an executor allows in all; the slots of a VM keep its share of them lower. */
--- a/library/src/main/java/io/radishspindle/platform/http/Wire.java
+++ b/library/src/main/java/io/radishspindle/platform/http/Wire.java
@@ -16,8 +16,8 @@
  * JSON and names that the platform's interfaces share; used by the adapters and by the stand-ins. Stateless and
  * thread-safe.
  *
- * <p>Unknown fields are ignored, so that the platform may add some. A missing field is an error, because a record with
- * a null component would break its users later.
+ * <p>Unknown fields are ignored, so that the platform may add some. A missing field is an error, because a record
+ * with a null component would break its users later.
  */
 public final class Wire {
     /** Present with value {@code true} if the peer did not run or apply what it was asked. */
--- a/library/src/main/java/io/radishspindle/protocol/Frame.java
+++ b/library/src/main/java/io/radishspindle/protocol/Frame.java
@@ -3,8 +3,8 @@
 import io.radishspindle.error.Failure;
 
 /**
- * One frame of the internal protocol, on the wire {@code [version, type, body]}. Immutable by convention; the array is
- * not copied.
+ * One frame of the internal protocol, on the wire {@code [version, type, body]}. Immutable by convention; the array
+ * is not copied.
  *
  * @param version protocol version of the sender
  * @param type code of {@link MessageTypes} or one of the constants below
--- a/library/src/main/java/io/radishspindle/protocol/PeerListener.java
+++ b/library/src/main/java/io/radishspindle/protocol/PeerListener.java
@@ -18,8 +18,8 @@
 import org.tinylog.Logger;
 
 /**
- * The incoming side: connections that other VMs opened, and the handlers of their messages. Belongs to the messenger's
- * event loop.
+ * The incoming side: connections that other VMs opened, and the handlers of their messages. Belongs to the
+ * messenger's event loop.
  *
  * <p>Invariants: at most one authenticated connection per VM; at most {@link #MAX_UNAUTHENTICATED} others.
  */
--- a/library/src/main/java/io/radishspindle/protocol/TcpPeerMessenger.java
+++ b/library/src/main/java/io/radishspindle/protocol/TcpPeerMessenger.java
@@ -22,8 +22,8 @@
 import org.apache.commons.rng.simple.RandomSource;
 
 /**
- * Messages between entry VMs over TCP. Each VM sends its requests and one-way messages over a connection that it opens
- * itself; answers return on the same connection.
+ * Messages between entry VMs over TCP. Each VM sends its requests and one-way messages over a connection that it
+ * opens itself; answers return on the same connection.
  *
  * <p>All state belongs to the event loop of the context in which the messenger was created. Calls from other threads
  * are passed on to it, so the class is thread-safe; completions and handlers run on that event loop.
--- a/library/src/main/java/io/radishspindle/routing/KeyedResponder.java
+++ b/library/src/main/java/io/radishspindle/routing/KeyedResponder.java
@@ -13,7 +13,8 @@
 /**
  * Answers a request with an idempotency key and records its outcome. Thread-safe.
  *
- * <p>The caller is answered first; a record that can't be written leaves the outcome unknown to repeats, which is safe.
+ * <p>The caller is answered first; a record that can't be written leaves the outcome unknown to repeats, which is
+ * safe.
  */
 final class KeyedResponder implements Responder {
     static final String STEP = "routing.idempotency";
--- a/library/src/main/java/io/radishspindle/routing/PeerTable.java
+++ b/library/src/main/java/io/radishspindle/routing/PeerTable.java
@@ -14,7 +14,8 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Load of one service at the peers, as they reported it, less the requests that were forwarded since. Not thread-safe.
+ * Load of one service at the peers, as they reported it, less the requests that were forwarded since. Not thread-
+ * safe.
  */
 final class PeerTable {
     /** How much longer the local queue must be than a peer's, so that requests don't move for small differences. */
--- a/library/src/main/java/io/radishspindle/routing/RequestService.java
+++ b/library/src/main/java/io/radishspindle/routing/RequestService.java
@@ -33,8 +33,8 @@
 import org.apache.commons.rng.simple.RandomSource;
 
 /**
- * Routes requests of callers to slots of executors. Must be created on the event loop of the {@link PeerMessenger}; its
- * methods may then be called from any thread, and its handler may be used on any event loop.
+ * Routes requests of callers to slots of executors. Must be created on the event loop of the {@link PeerMessenger};
+ * its methods may then be called from any thread, and its handler may be used on any event loop.
  *
  * <p>Invariant: a request accepted before {@link #drain} gets its own final answer before the drain ends.
  */
--- a/library/src/main/java/io/radishspindle/routing/RoutingCore.java
+++ b/library/src/main/java/io/radishspindle/routing/RoutingCore.java
@@ -21,8 +21,8 @@
  * Decides where requests run: slots, queues, limits, retries, ejection. Deterministic: the same seed and events give
  * the same actions. Belongs to one event loop; not thread-safe.
  *
- * <p>Invariants: each request ends with exactly one of {@code Deliver}, {@code Refuse} and {@code Abandon}; at most one
- * attempt of a request is open; a failure claims "not run" only if no attempt can have run.
+ * <p>Invariants: each request ends with exactly one of {@code Deliver}, {@code Refuse} and {@code Abandon}; at most
+ * one attempt of a request is open; a failure claims "not run" only if no attempt can have run.
  */
 public final class RoutingCore {
     private static final Failure BUSY =
--- a/library/src/main/java/io/radishspindle/routing/RoutingRuntime.java
+++ b/library/src/main/java/io/radishspindle/routing/RoutingRuntime.java
@@ -25,8 +25,8 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Feeds a {@link RoutingCore} and carries out its actions. All methods but {@link #loads} and {@link #leavingEndpoints}
- * must run on the given context.
+ * Feeds a {@link RoutingCore} and carries out its actions. All methods but {@link #loads} and {@link
+ * #leavingEndpoints} must run on the given context.
  *
  * <p>Invariant: {@code pending} holds exactly the requests without a final answer.
  */
--- a/library/src/main/java/io/radishspindle/routing/Safeguard.java
+++ b/library/src/main/java/io/radishspindle/routing/Safeguard.java
@@ -1,8 +1,8 @@
 package io.radishspindle.routing;
 
 /**
- * Mechanisms of {@link RoutingCore} that a test or a benchmark can turn off to show what each one prevents. A VM always
- * runs with all of them.
+ * Mechanisms of {@link RoutingCore} that a test or a benchmark can turn off to show what each one prevents. A VM
+ * always runs with all of them.
  */
 public enum Safeguard {
     /** Splits the slots among the entry VMs; off, each VM uses all slots of each executor. */
--- a/library/src/test/java/io/radishspindle/config/ConfigNeverRevertsTest.java
+++ b/library/src/test/java/io/radishspindle/config/ConfigNeverRevertsTest.java
@@ -13,8 +13,8 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
- * Guards guarantee G8 against single faults. Each test runs with the protection off, where the failure must appear, and
- * with the protection on, where it must not.
+ * Guards guarantee G8 against single faults. Each test runs with the protection off, where the failure must appear,
+ * and with the protection on, where it must not.
  */
 class ConfigNeverRevertsTest {
     private static final Mechanisms NOT_NEWER_ONLY = new Mechanisms(false, true, true, true);
--- a/library/src/test/java/io/radishspindle/routing/RoutingSimulation.java
+++ b/library/src/test/java/io/radishspindle/routing/RoutingSimulation.java
@@ -24,8 +24,8 @@
 import org.apache.commons.rng.simple.RandomSource;
 
 /**
- * Entry VMs, executors and callers of three data centres in virtual time. The cores are the real ones; executors, peers
- * and the store are fakes with seeded faults. The same seed gives the same history.
+ * Entry VMs, executors and callers of three data centres in virtual time. The cores are the real ones; executors,
+ * peers and the store are fakes with seeded faults. The same seed gives the same history.
  */
 final class RoutingSimulation {
     /** Reports what a probe found. */
