--- a/library/src/main/java/io/radishspindle/routing/Admission.java
+++ b/library/src/main/java/io/radishspindle/routing/Admission.java
@@ -33,12 +33,13 @@
         }
         long remainingMs = arrival.deadlineAtMs() - nowMs;
         if (remainingMs <= 0) {
-            return new Decision(Refusals.waitTooLong(0, remainingMs, 0), null);
+            return new Decision(Refusals.deadlinePassed(), null);
         }
         double waitMs = service.expectedWaitMs(arrival.requestClass(), arrival.caller(), nowMs);
-        if (waitMs > remainingMs && limits.has(Safeguard.EARLY_REFUSAL)) {
-            long retryMs = jitter(waitMs - remainingMs);
-            return new Decision(Refusals.waitTooLong((long) waitMs, remainingMs, retryMs), null);
+        double neededMs = waitMs == 0 ? 0 : waitMs + service.leastRunMs(arrival.caller());
+        if (neededMs > remainingMs && limits.has(Safeguard.EARLY_REFUSAL)) {
+            long retryMs = jitter(neededMs - remainingMs);
+            return new Decision(Refusals.waitTooLong((long) neededMs, remainingMs, retryMs), null);
         }
         return checkBounds(service, arrival, nowMs);
     }
--- a/library/src/main/java/io/radishspindle/routing/CallerCosts.java
+++ b/library/src/main/java/io/radishspindle/routing/CallerCosts.java
@@ -40,4 +40,9 @@
         Double own = byCaller.getIfPresent(caller);
         return own == null ? 1 : own / meanMs;
     }
+
+    /** Usual slot time of a caller's request, in milliseconds. */
+    double expectedMs(String caller) {
+        return relativeCost(caller) * meanMs;
+    }
 }
--- a/library/src/main/java/io/radishspindle/routing/EndpointState.java
+++ b/library/src/main/java/io/radishspindle/routing/EndpointState.java
@@ -2,6 +2,7 @@
 
 import io.radishspindle.membership.MembershipView.Endpoint;
 import io.radishspindle.membership.MembershipView.Liveness;
+import java.util.Optional;
 
 /**
  * What this VM knows of an executor of its data centre. Belongs to one {@link RoutingCore}; not thread-safe.
@@ -29,12 +30,12 @@
     int ejections;
     long ejectedUntilMs = Long.MIN_VALUE;
     long busyUntilMs = Long.MIN_VALUE;
-    long nextProbeAtMs = Long.MIN_VALUE;
     boolean probing;
     boolean listed = true;
     double latencyMs;
     int latencySamples;
     String lastErrorCaller = "";
+    private long nextProbeAtMs = Long.MIN_VALUE;
     private boolean leaving;
     private long verifiedAtMs;
     private boolean verified;
@@ -78,6 +79,17 @@
         return nowMs < ejectedUntilMs;
     }
 
+    /** The probe that is due, if any; at most one is open. */
+    Optional<RoutingAction> nextProbe(long nowMs, long intervalMs) {
+        if (probing || !listed || assignedSlots == 0 || nowMs < nextProbeAtMs) {
+            return Optional.empty();
+        }
+        long boundedMs = Math.min(intervalMs, MAX_PROBE_INTERVAL_MS);
+        probing = true;
+        nextProbeAtMs = nowMs + boundedMs;
+        return Optional.of(new RoutingAction.Probe(id(), endpoint.host(), endpoint.port(), nowMs, nowMs + boundedMs));
+    }
+
     int capacity(long nowMs) {
         if (!isUsable(nowMs) || isEjected(nowMs)) {
             return 0;
--- a/library/src/main/java/io/radishspindle/routing/Refusals.java
+++ b/library/src/main/java/io/radishspindle/routing/Refusals.java
@@ -44,16 +44,21 @@
     }
 
     static Failure waitTooLong(long waitMs, long remainingMs, long retryAfterMs) {
-        String message = "expected wait of " + waitMs + " ms exceeds the " + remainingMs + " ms to the deadline";
+        String message =
+                "expected time of " + waitMs + " ms to an answer exceeds the " + remainingMs + " ms to the deadline";
         return Failure.retryable(ErrorCode.DEADLINE_EXCEEDED, STEP, "", message, retryAfterMs);
     }
 
+    static Failure deadlinePassed() {
+        return Failure.rejected(ErrorCode.DEADLINE_EXCEEDED, STEP, "the deadline passed before the request was queued");
+    }
+
     static Failure deadlineInQueue(boolean notRun, long retryAfterMs) {
         return new Failure(
                 ErrorCode.DEADLINE_EXCEEDED,
                 STEP,
                 "",
-                "deadline passed while waiting for a slot",
+                "the wait for a slot left too little time before the deadline",
                 notRun,
                 retryAfterMs);
     }
--- a/library/src/main/java/io/radishspindle/routing/RequestQueue.java
+++ b/library/src/main/java/io/radishspindle/routing/RequestQueue.java
@@ -32,6 +32,7 @@
     private static final class ClassQueue {
         final Map<String, CallerQueue> callers = new HashMap<>();
         final ArrayDeque<CallerQueue> ring = new ArrayDeque<>();
+        final DrainRate drainRate = new DrainRate();
         double virtualTime;
         int size;
     }
@@ -74,13 +75,15 @@
         return queueOf(requestClass).ring.size();
     }
 
-    void add(Request request) {
+    void add(Request request, long nowMs) {
+        beginBacklog(request, nowMs);
         callerQueue(request).waiting.addLast(request);
         counted(request, 1);
     }
 
     /** Puts back a request that did not run, ahead of the caller's others. */
-    void addFirst(Request request) {
+    void addFirst(Request request, long nowMs) {
+        beginBacklog(request, nowMs);
         callerQueue(request).waiting.addFirst(request);
         counted(request, 1);
     }
@@ -105,7 +108,7 @@
     }
 
     /** Removes the request returned by {@link #next} and charges its caller and class. */
-    void take(Request request) {
+    void take(Request request, long nowMs) {
         ClassQueue queue = queueOf(request.requestClass());
         CallerQueue callers = queue.callers.get(keyOf(request.caller()));
         if (callers != null) {
@@ -118,6 +121,7 @@
                 queue.ring.addLast(callers);
             }
         }
+        queue.drainRate.left(nowMs);
         remove(request);
     }
 
@@ -155,11 +159,21 @@
         return null;
     }
 
-    /** Estimate of the requests that are served before a new request of the caller. */
-    int servedBefore(RequestClass requestClass, String caller) {
+    /** Expected wait of a new request of the caller by the pace of its class, in milliseconds; 0 if unknown. */
+    double waitByPaceMs(RequestClass requestClass, String caller) {
+        int before = servedBeforeInClass(requestClass, caller);
+        return queueOf(requestClass).drainRate.timeToLeaveMs(before + 1);
+    }
+
+    private int servedBeforeInClass(RequestClass requestClass, String caller) {
         int own = queuedOf(requestClass, caller);
         int callers = activeCallers(requestClass) + (own == 0 ? 1 : 0);
-        int inClass = (int) Math.min(size(requestClass), (own + 1L) * callers - 1);
+        return (int) Math.min(size(requestClass), (own + 1L) * callers - 1);
+    }
+
+    /** Estimate of the requests that are served before a new request of the caller. */
+    int servedBefore(RequestClass requestClass, String caller) {
+        int inClass = servedBeforeInClass(requestClass, caller);
         if (!weighted) {
             return inClass;
         }
@@ -186,6 +200,13 @@
         return best;
     }
 
+    private void beginBacklog(Request request, long nowMs) {
+        ClassQueue queue = queueOf(request.requestClass());
+        if (queue.size == 0) {
+            queue.drainRate.begin(nowMs);
+        }
+    }
+
     private CallerQueue callerQueue(Request request) {
         ClassQueue queue = queueOf(request.requestClass());
         if (queue.size == 0) {
--- a/library/src/main/java/io/radishspindle/routing/RoutingCore.java
+++ b/library/src/main/java/io/radishspindle/routing/RoutingCore.java
@@ -108,7 +108,7 @@
         }
         ServiceState service = services.get(arrival.service());
         service.retryBudget.requestArrived();
-        service.queue.add(request);
+        service.queue.add(request, nowMs);
         deadlines.add(request);
         dispatch(service);
     }
@@ -140,9 +140,14 @@
             if (request == null) {
                 return;
             }
+            if (limits.has(Safeguard.EARLY_REFUSAL) && service.isTooLate(request, nowMs)) {
+                service.queue.remove(request);
+                expireQueued(service, request);
+                continue;
+            }
             EndpointState executor = service.pick(request, nowMs);
             if (executor != null) {
-                service.queue.take(request);
+                service.queue.take(request, nowMs);
                 send(request, executor);
                 continue;
             }
@@ -150,7 +155,7 @@
             if (peer == null) {
                 return;
             }
-            service.queue.take(request);
+            service.queue.take(request, nowMs);
             forward(service, request, peer);
         }
     }
@@ -277,7 +282,7 @@
         }
         stats.retries++;
         request.phase = Phase.QUEUED;
-        service.queue.addFirst(request);
+        service.queue.addFirst(request, nowMs);
     }
 
     private void callerGone(long requestId) {
@@ -319,23 +324,12 @@
         expire();
         for (ServiceState service : services.all()) {
             for (EndpointState executor : service.executors()) {
-                probe(executor);
+                executor.nextProbe(nowMs, limits.routing().probeMs()).ifPresent(actions::add);
             }
             dispatch(service);
         }
     }
 
-    private void probe(EndpointState executor) {
-        if (executor.probing || !executor.listed || executor.assignedSlots == 0 || nowMs < executor.nextProbeAtMs) {
-            return;
-        }
-        long probeMs = Math.min(limits.routing().probeMs(), EndpointState.MAX_PROBE_INTERVAL_MS);
-        executor.probing = true;
-        executor.nextProbeAtMs = nowMs + probeMs;
-        Endpoint to = executor.endpoint;
-        actions.add(new RoutingAction.Probe(to.id(), to.host(), to.port(), nowMs, nowMs + probeMs));
-    }
-
     private void expire() {
         while (!deadlines.isEmpty() && deadlines.peek().deadlineAtMs() <= nowMs) {
             Request request = deadlines.remove();
--- a/library/src/main/java/io/radishspindle/routing/ServiceState.java
+++ b/library/src/main/java/io/radishspindle/routing/ServiceState.java
@@ -143,7 +143,19 @@
         if (slots == 0 || (queue.size() == 0 && load(nowMs).freeSlots() > 0)) {
             return 0;
         }
-        return (queue.servedBefore(requestClass, caller) + 1) * costs.meanMs() / slots;
+        double bySlotsMs = (queue.servedBefore(requestClass, caller) + 1) * costs.meanMs() / slots;
+        return Math.max(bySlotsMs, queue.waitByPaceMs(requestClass, caller));
+    }
+
+    /** True if a request that has waited is unlikely to be answered in time, so that its slot would be wasted. */
+    boolean isTooLate(Request request, long nowMs) {
+        boolean waited = nowMs > request.arrival.acceptedAtMs() + RoutingLimits.TICK_MS;
+        return waited && nowMs + leastRunMs(request.caller()) > request.deadlineAtMs();
+    }
+
+    /** Time that a caller's request will at least run; half of the usual, since run times differ. */
+    double leastRunMs(String caller) {
+        return costs.expectedMs(caller) / 2;
     }
 
     /** Time in which the slots of this VM serve so many requests, in milliseconds. */
--- a/library/src/test/java/io/radishspindle/routing/RoutingFixture.java
+++ b/library/src/test/java/io/radishspindle/routing/RoutingFixture.java
@@ -6,6 +6,7 @@
 import io.radishspindle.idempotency.KeyedRequests;
 import io.radishspindle.membership.MembershipView.Endpoint;
 import io.radishspindle.membership.MembershipView.EntryVm;
+import io.radishspindle.membership.ServiceLoad;
 import io.radishspindle.platform.SystemClock;
 import io.radishspindle.platform.http.HttpExecutorClient;
 import io.radishspindle.settings.EntrySettings;
@@ -51,6 +52,8 @@
     private final HttpClient callers = vertx.createHttpClient();
     private RequestService service;
     boolean waitForSlots = true;
+    String dataCentre = "dc1";
+    private final List<EntryVm> others = new ArrayList<>();
     int port;
 
     /** Refuses keyed requests, as a VM without a store does. */
@@ -95,7 +98,7 @@
     }
 
     RoutingFixture endpoint(int slots, int executorPort) {
-        endpoints.add(Routings.endpoint("e" + endpoints.size(), "dc1", executorPort, slots));
+        endpoints.add(Routings.endpoint("e" + endpoints.size(), dataCentre, executorPort, slots));
         return this;
     }
 
@@ -104,17 +107,11 @@
     }
 
     RoutingFixture start(EntrySettings.Routing routing, KeyedRequests keyed) {
-        service = new RequestService(
-                vertx,
-                new SystemClock(),
-                new HttpExecutorClient(vertx, routing.maxBodyBytes()),
-                peers.messenger("vm1"),
-                keyed,
-                Routings.settings("vm1", routing),
-                new MetricRegistry());
-        service.start();
+        service = serviceOf("vm1", routing, keyed);
         EntryVm self = Routings.vm("vm1", "dc1");
-        service.update(Routings.view(self, List.of(self), endpoints));
+        List<EntryVm> vms = new ArrayList<>(List.of(self));
+        vms.addAll(others);
+        service.update(Routings.view(self, vms, endpoints));
         Router router = Router.router(vertx);
         router.route("/services/:service/*").handler(service.handler());
         HttpServer server =
@@ -124,6 +121,29 @@
         return this;
     }
 
+    /** Starts another VM with eight free slots; the endpoints must have been added. */
+    RequestService peer(String id, String peerDataCentre) {
+        RequestService peer = serviceOf(id, Routings.routing(), noStore());
+        EntryVm vm = Routings.vm(id, peerDataCentre, new ServiceLoad(Routings.SERVICE, 8, 0));
+        peer.update(Routings.view(vm, List.of(vm), endpoints));
+        others.add(vm);
+        waitForSlots = false;
+        return peer;
+    }
+
+    private RequestService serviceOf(String id, EntrySettings.Routing routing, KeyedRequests keyed) {
+        RequestService created = new RequestService(
+                vertx,
+                new SystemClock(),
+                new HttpExecutorClient(vertx, routing.maxBodyBytes()),
+                peers.messenger(id),
+                keyed,
+                Routings.settings(id, routing),
+                new MetricRegistry());
+        created.start();
+        return created;
+    }
+
     RequestService service() {
         return service;
     }
