--- a/library/src/main/java/io/radishspindle/placement/internal/TaskEvents.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/TaskEvents.java
@@ -59,7 +59,7 @@
             record(event, event.outcome() == TaskOutcome.SUCCEEDED);
             return;
         }
-        lifecycle.familyOf(job).notePeak(attempt.peak);
+        job.family.notePeak(attempt.peak);
         endLive(event, attempt, job);
     }
 
@@ -68,7 +68,7 @@
         boolean service = job.spec.jobClass() == JobClass.SERVICE;
         if (event.outcome() == TaskOutcome.SUCCEEDED && !service) {
             quarantine.noteSuccess(attempt.worker);
-            lifecycle.familyOf(job).noteSuccess(context.nowMs - attempt.startedAtMs);
+            job.family.noteSuccess(context.nowMs - attempt.startedAtMs);
             record(event, true);
             lifecycle.finishTask(job, index, TaskPhase.SUCCEEDED);
         } else if (job.isEnding()) {
@@ -100,6 +100,9 @@
     private void lateEnd(TaskEnded event) {
         int index = event.attempt().task().index();
         JobState job = jobs.get(event.attempt().task().jobId());
+        if (event.attempt().epoch() > context.epoch) {
+            return;
+        }
         if (job == null || !job.hasTask(index)) {
             ended.put(event.attempt(), true);
             record(event, event.outcome() == TaskOutcome.SUCCEEDED);
