Takeover: count the open wait from the completing claim, and drop replaced attempts

Cause 1: the time of the claimed majority was computed as 'majority since', which takes the early claims of a minority for the majority. The open wait then ran while the old owner still had authority. Now it starts with the claim that completes the majority. Cause 2: answers to early claims were up to 13 s old when the majority was complete. The old owner, still in authority, had lost the task at one worker and started it at another; the stale report replaced the newer one in placement. Now an attempt is dropped if any worker reports a later attempt of the same task. Ruled out: old owner without majority (it had four of six workers), mixed epochs of two groups.

--- a/library/src/main/java/io/radishspindle/ownership/Caretaker.java
+++ b/library/src/main/java/io/radishspindle/ownership/Caretaker.java
@@ -87,7 +87,7 @@
             return Long.MAX_VALUE;
         }
         List<Set<String>> quorums = record.quorums();
-        long at = Quorum.majorityAt(quorums, id -> {
+        long at = Quorum.majoritySince(quorums, id -> {
             Peer peer = peers.get(id);
             return peer == null ? Quorum.NEVER : peer.answeredSentAtMs;
         });
--- a/library/src/main/java/io/radishspindle/ownership/Owner.java
+++ b/library/src/main/java/io/radishspindle/ownership/Owner.java
@@ -54,7 +54,7 @@
     private final Set<String> unreachable = new HashSet<>();
     private final Set<String> lost = new HashSet<>();
     private final Set<String> leaving = new HashSet<>();
-    private final Map<String, ControlReply> firstReplies = new TreeMap<>();
+    private final ClaimReplies firstReplies = new ClaimReplies();
     private final Journal journal;
     private final JobDesk desk;
     private List<Set<String>> quorums;
@@ -358,7 +358,7 @@
     }
 
     private long authorityUntilMs() {
-        long at = Quorum.majorityAt(quorums, id -> at(id, true));
+        long at = Quorum.majoritySince(quorums, id -> at(id, true));
         return at == Quorum.NEVER ? Quorum.NEVER : at + timing.controlLeaseMs();
     }
 
@@ -371,8 +371,9 @@
     }
 
     private void noteMajority() {
-        if (majorityAtMs == Quorum.NEVER) {
-            majorityAtMs = Quorum.majorityAt(quorums, id -> at(id, false));
+        if (majorityAtMs == Quorum.NEVER && Quorum.majoritySince(quorums, id -> at(id, false)) != Quorum.NEVER) {
+            // The claim that completes the majority counts: until then the old owner may have had authority.
+            majorityAtMs = fx.now();
         }
     }
 
@@ -387,13 +388,12 @@
         }
         serving = true;
         desk.recover(all ? fx.now() : majorityAtMs + timing.takeoverOpenMs());
-        firstReplies.forEach((id, reply) -> {
+        firstReplies.withoutReplaced().forEach((id, reply) -> {
             WorkerLink link = links.get(id);
             if (link != null) {
                 introduce(link, reply);
             }
         });
-        firstReplies.clear();
         Logger.info("event=group-served group={} epoch={} all-workers={}", group, record.epoch(), all);
         updateMayStart();
         desk.feed(new PlacementEvent.Tick());
--- a/library/src/main/java/io/radishspindle/ownership/Quorum.java
+++ b/library/src/main/java/io/radishspindle/ownership/Quorum.java
@@ -13,19 +13,20 @@
     private Quorum() {}
 
     /**
-     * The latest time at which a majority of every set had done something.
+     * The latest time since which a majority of every set has done something, as long as each did it at or after that
+     * time.
      *
      * @param at when a worker last did it; {@link #NEVER} if it did not
      */
-    static long majorityAt(List<Set<String>> sets, ToLongFunction<String> at) {
+    static long majoritySince(List<Set<String>> sets, ToLongFunction<String> at) {
         long result = Long.MAX_VALUE;
         for (Set<String> set : sets) {
-            result = Math.min(result, majorityAt(set, at));
+            result = Math.min(result, majoritySince(set, at));
         }
         return sets.isEmpty() ? NEVER : result;
     }
 
-    private static long majorityAt(Set<String> set, ToLongFunction<String> at) {
+    private static long majoritySince(Set<String> set, ToLongFunction<String> at) {
         if (set.isEmpty()) {
             return NEVER;
         }
--- a/soak-runner/src/main/java/io/radishspindle/soak/Fault.java
+++ b/soak-runner/src/main/java/io/radishspindle/soak/Fault.java
@@ -13,6 +13,8 @@
     VM_WORKER_ONE_WAY,
     WORKER_VM_ONE_WAY,
     VM_VM_PARTITION,
+    /** The data centre falls into two parts; the store is in one of them. */
+    SPLIT,
     VM_STORE_PARTITION,
     STORE_OUT,
     STORE_SLOW,
--- a/soak-runner/src/main/java/io/radishspindle/soak/FaultInjector.java
+++ b/soak-runner/src/main/java/io/radishspindle/soak/FaultInjector.java
@@ -59,6 +59,7 @@
             case WORKER_VM_ONE_WAY -> partitionWorkers(vm, false, true, lasts);
             case VM_VM_PARTITION ->
                 cell.vms.stream().filter(peer -> peer != vm).forEach(peer -> cutFor(vm, peer, true, true, lasts));
+            case SPLIT -> split(lasts * 2);
             case VM_STORE_PARTITION -> cutFor(vm, cell.store, true, true, lasts);
             case STORE_OUT -> storeFor(FakeStore.Condition.OUT, lasts * 2);
             case STORE_SLOW -> storeFor(FakeStore.Condition.SLOW, lasts);
@@ -93,6 +94,21 @@
         }
     }
 
+    private void split(long lasts) {
+        List<Node> all = new ArrayList<>(cell.vms);
+        all.addAll(cell.workers);
+        all.add(cell.store);
+        double share = 0.2 + 0.6 * sim.random.nextDouble();
+        List<Node> side = all.stream().filter(node -> sim.chance(share)).toList();
+        for (Node a : side) {
+            for (Node b : all) {
+                if (!side.contains(b)) {
+                    cutFor(a, b, true, true, lasts);
+                }
+            }
+        }
+    }
+
     private void cutFor(Node a, Node b, boolean there, boolean back, long lasts) {
         forAWhile(
                 () -> {
