--- a/library/src/main/java/io/radishspindle/routing/RoutingCore.java
+++ b/library/src/main/java/io/radishspindle/routing/RoutingCore.java
@@ -21,8 +21,8 @@
  * Decides where requests run: slots, queues, limits, retries, ejection. Deterministic: the same seed and events give
  * the same actions. Belongs to one event loop; not thread-safe.
  *
- * <p>Invariants: each request ends with exactly one of {@code Deliver}, {@code Refuse} and {@code Abandon}; at most one
- * attempt of a request is open; a failure claims "not run" only if no attempt can have run.
+ * <p>Invariants: each request ends with exactly one of {@code Deliver}, {@code Refuse} and {@code Abandon}; at most
+ * one attempt of a request is open; a failure claims "not run" only if no attempt can have run.
  */
 public final class RoutingCore {
     private static final Failure BUSY =
@@ -108,7 +108,7 @@
         }
         ServiceState service = services.get(arrival.service());
         service.retryBudget.requestArrived();
-        service.queue.add(request);
+        service.queue.add(request, nowMs);
         deadlines.add(request);
         dispatch(service);
     }
@@ -140,9 +140,14 @@
             if (request == null) {
                 return;
             }
+            if (limits.has(Safeguard.EARLY_REFUSAL) && service.isTooLate(request, nowMs)) {
+                service.queue.remove(request);
+                expireQueued(service, request);
+                continue;
+            }
             EndpointState executor = service.pick(request, nowMs);
             if (executor != null) {
-                service.queue.take(request);
+                service.queue.take(request, nowMs);
                 send(request, executor);
                 continue;
             }
@@ -150,7 +155,7 @@
             if (peer == null) {
                 return;
             }
-            service.queue.take(request);
+            service.queue.take(request, nowMs);
             forward(service, request, peer);
         }
     }
@@ -245,11 +250,15 @@
         }
     }
 
+    /** A forwarded request is repeated by the VM that has the caller, or the attempts of both would multiply. */
     private void retryBroken(ServiceState service, Request request, Failure cause) {
         boolean safe = request.arrival.idempotent() || !limits.has(Safeguard.SAFE_RETRY);
         if (request.callerGone) {
             abandon(request);
-        } else if (safe && nowMs < request.deadlineAtMs() && mayRetry(service, request)) {
+        } else if (safe
+                && request.arrival.hops() == 0
+                && nowMs < request.deadlineAtMs()
+                && mayRetry(service, request)) {
             requeue(service, request);
         } else if (nowMs >= request.deadlineAtMs()) {
             refuse(request, Refusals.deadlineWhileRunning(cause.peer()));
@@ -273,7 +282,7 @@
         }
         stats.retries++;
         request.phase = Phase.QUEUED;
-        service.queue.addFirst(request);
+        service.queue.addFirst(request, nowMs);
     }
 
     private void callerGone(long requestId) {
@@ -315,23 +324,12 @@
         expire();
         for (ServiceState service : services.all()) {
             for (EndpointState executor : service.executors()) {
-                probe(executor);
+                executor.nextProbe(nowMs, limits.routing().probeMs()).ifPresent(actions::add);
             }
             dispatch(service);
         }
     }
 
-    private void probe(EndpointState executor) {
-        if (executor.probing || !executor.listed || executor.assignedSlots == 0 || nowMs < executor.nextProbeAtMs) {
-            return;
-        }
-        long probeMs = Math.min(limits.routing().probeMs(), EndpointState.MAX_PROBE_INTERVAL_MS);
-        executor.probing = true;
-        executor.nextProbeAtMs = nowMs + probeMs;
-        Endpoint to = executor.endpoint;
-        actions.add(new RoutingAction.Probe(to.id(), to.host(), to.port(), nowMs, nowMs + probeMs));
-    }
-
     private void expire() {
         while (!deadlines.isEmpty() && deadlines.peek().deadlineAtMs() <= nowMs) {
             Request request = deadlines.remove();
