--- a/library/src/main/java/io/radishspindle/routing/EndpointState.java
+++ b/library/src/main/java/io/radishspindle/routing/EndpointState.java
@@ -32,7 +32,9 @@
     long busyUntilMs = Long.MIN_VALUE;
     boolean probing;
     boolean listed = true;
-    double latencyMs;
+    /** Moving average of the answer time as a multiple of the usual time of the caller's requests. */
+    double slowness;
+
     int latencySamples;
     String lastErrorCaller = "";
     private long nextProbeAtMs = Long.MIN_VALUE;
--- a/library/src/main/java/io/radishspindle/routing/OutcomeObserver.java
+++ b/library/src/main/java/io/radishspindle/routing/OutcomeObserver.java
@@ -52,12 +52,13 @@
             AttemptOutcome.Answered outcome,
             long nowMs) {
         double elapsedMs = nowMs - request.sentAtMs;
+        double expectedMs = service.costs.expectedMs(request.caller());
         service.costs.record(request.caller(), elapsedMs);
         signal(executor, outcome.leaving(), nowMs);
         if (outcome.status() >= FIRST_SERVER_ERROR) {
             service.outliers.answeredWithError(executor, request.caller(), nowMs);
         } else {
-            service.outliers.succeeded(executor, elapsedMs, nowMs);
+            service.outliers.succeeded(executor, elapsedMs, expectedMs, nowMs);
         }
     }
 
--- a/library/src/main/java/io/radishspindle/routing/OutlierDetector.java
+++ b/library/src/main/java/io/radishspindle/routing/OutlierDetector.java
@@ -15,10 +15,12 @@
     private static final int MIN_RETURN_SAMPLES = 3;
 
     private static final int MIN_EXECUTORS_FOR_MEDIAN = 3;
-    /** Below this latency an executor is never slow, in milliseconds; hides the noise of very short requests. */
+    /** An answer faster than this never ejects its executor, in milliseconds; hides the noise of short requests. */
     private static final double MIN_SLOW_MS = 20;
 
-    private static final double GAIN = 0.2;
+    /** Weight of a new sample; run times vary so much that a higher weight would eject executors by chance. */
+    private static final double GAIN = 0.1;
+
     private static final long FIRST_EJECTION_MS = 1_000;
     private static final long MAX_EJECTION_MS = 30_000;
 
@@ -36,13 +38,19 @@
         return ejections;
     }
 
-    void succeeded(EndpointState executor, double elapsedMs, long nowMs) {
+    /**
+     * Takes a good answer.
+     *
+     * @param expectedMs usual time of the caller's requests; latencies are compared in multiples of it, so that an
+     *     executor that happens to run long requests is not taken for a slow one
+     */
+    void succeeded(EndpointState executor, double elapsedMs, double expectedMs, long nowMs) {
         executor.consecutiveFailures = 0;
         executor.lastErrorCaller = "";
         executor.latencySamples++;
         double gain = Math.max(GAIN, 1.0 / executor.latencySamples);
-        executor.latencyMs += gain * (elapsedMs - executor.latencyMs);
-        if (isSlow(executor)) {
+        executor.slowness += gain * (elapsedMs / Math.max(1, expectedMs) - executor.slowness);
+        if (elapsedMs >= MIN_SLOW_MS && isSlow(executor)) {
             eject(executor, nowMs);
             return;
         }
@@ -75,16 +83,16 @@
     private boolean isSlow(EndpointState executor) {
         boolean returning = executor.rampSlots != Integer.MAX_VALUE;
         int needed = returning ? MIN_RETURN_SAMPLES : MIN_LATENCY_SAMPLES;
-        if (executor.latencySamples < needed || executor.latencyMs < MIN_SLOW_MS) {
+        if (executor.latencySamples < needed) {
             return false;
         }
-        double[] latencies = executors.stream()
+        double[] others = executors.stream()
                 .filter(e -> e == executor || e.latencySamples >= MIN_LATENCY_SAMPLES)
-                .mapToDouble(e -> e.latencyMs)
+                .mapToDouble(e -> e.slowness)
                 .sorted()
                 .toArray();
-        return latencies.length >= MIN_EXECUTORS_FOR_MEDIAN
-                && executor.latencyMs > LATENCY_FACTOR * latencies[(latencies.length - 1) / 2];
+        return others.length >= MIN_EXECUTORS_FOR_MEDIAN
+                && executor.slowness > LATENCY_FACTOR * others[(others.length - 1) / 2];
     }
 
     private void eject(EndpointState executor, long nowMs) {
@@ -97,7 +105,7 @@
         executor.rampSlots = 1;
         executor.consecutiveFailures = 0;
         executor.latencySamples = 0;
-        executor.latencyMs = 0;
+        executor.slowness = 0;
         ejections++;
     }
 
