Keep a tenth of the slots free of bulk requests while higher classes are active

Cause: a backlog of bulk requests of 200 ms takes every slot that becomes free, so interactive requests wait for the end of one. Change: bulk leaves a tenth of the slots of a VM free while a higher class was active in the last second and none of it waits; the share by weight stays.

--- a/benchmarks/src/main/java/io/radishspindle/bench/routing/RoutingReplay.java
+++ b/benchmarks/src/main/java/io/radishspindle/bench/routing/RoutingReplay.java
@@ -87,6 +87,8 @@
                 "least-connections", world -> new OwnViewRouter(world, () -> ExecutorChoice.leastConnections(random)));
         routers.put("core, one queue", world -> new CoreRouter(world, oneQueue, seed));
         routers.put("core, shared slots", world -> new CoreRouter(world, all.without(Safeguard.SLOT_SPLIT), seed));
+        RoutingLimits noReserve = all.without(Safeguard.RESERVED_SLOTS);
+        routers.put("core, no reserve", world -> new CoreRouter(world, noReserve, seed));
         routers.put("core", world -> new CoreRouter(world, all, seed));
         return routers;
     }
--- a/library/src/main/java/io/radishspindle/routing/PeerTable.java
+++ b/library/src/main/java/io/radishspindle/routing/PeerTable.java
@@ -98,13 +98,14 @@
         if (bytes > RoutingLimits.MAX_FORWARD_BODY_BYTES) {
             return null;
         }
-        Peer peer = choose(p -> p.dataCentre.equals(ownDataCentre));
+        boolean bulk = request.requestClass() == RequestClass.BULK && limits.has(Safeguard.RESERVED_SLOTS);
+        Peer peer = choose(bulk, p -> p.dataCentre.equals(ownDataCentre));
         if (peer == null) {
-            peer = choose(p -> !p.dataCentre.equals(ownDataCentre) && isSameRegion(p));
+            peer = choose(bulk, p -> !p.dataCentre.equals(ownDataCentre) && isSameRegion(p));
         }
         boolean worthIt = expectedWaitMs > limits.routing().remoteWorthItMs();
         if (peer == null && worthIt && bytes <= RoutingLimits.MAX_REMOTE_BODY_BYTES) {
-            peer = choose(p -> !isSameRegion(p));
+            peer = choose(bulk, p -> !isSameRegion(p));
         }
         if (peer == null) {
             peer = shorterQueue(ownBacklog);
@@ -114,10 +115,11 @@
 
     /** Picks two candidates at random and takes the one with more free slots, so that VMs don't all pick the same. */
     @Nullable
-    private Peer choose(Predicate<Peer> condition) {
+    private Peer choose(boolean bulk, Predicate<Peer> condition) {
         List<Peer> free = new ArrayList<>();
         for (Peer peer : peers.values()) {
-            if (peer.expectedFree() > 0 && condition.test(peer)) {
+            int reserved = bulk ? SlotReserve.reservedOf(peer.slots) : 0;
+            if (peer.expectedFree() > reserved && condition.test(peer)) {
                 free.add(peer);
             }
         }
--- a/library/src/main/java/io/radishspindle/routing/RoutingCore.java
+++ b/library/src/main/java/io/radishspindle/routing/RoutingCore.java
@@ -108,6 +108,7 @@
         }
         ServiceState service = services.get(arrival.service());
         service.retryBudget.requestArrived();
+        service.reserve.arrived(arrival.requestClass(), nowMs);
         service.queue.add(request, nowMs);
         deadlines.add(request);
         dispatch(service);
--- a/library/src/main/java/io/radishspindle/routing/Safeguard.java
+++ b/library/src/main/java/io/radishspindle/routing/Safeguard.java
@@ -19,6 +19,8 @@
     DRAIN_WAIT,
     /** Weights between classes; off, one queue. */
     CLASS_WEIGHTS,
+    /** Keeps some slots free of bulk requests while higher classes are active. */
+    RESERVED_SLOTS,
     /** Deficit round robin between callers; off, first-come first-served. */
     CALLER_FAIRNESS,
     /** Limits retries to a share of the requests. */
--- a/library/src/main/java/io/radishspindle/routing/ServiceState.java
+++ b/library/src/main/java/io/radishspindle/routing/ServiceState.java
@@ -21,6 +21,7 @@
     final RetryBudget retryBudget;
     final OutlierDetector outliers;
     final PeerTable peers;
+    final SlotReserve reserve;
     private final RoutingLimits limits;
     private final UniformRandomProvider random;
     private final Map<String, EndpointState> executors = new TreeMap<>();
@@ -35,6 +36,7 @@
         retryBudget = new RetryBudget(limits);
         outliers = new OutlierDetector(executors.values(), limits);
         peers = new PeerTable(limits, random);
+        reserve = new SlotReserve(limits);
     }
 
     /** Takes over a view; {@code endpoints} are those of this service in all data centres. */
@@ -100,9 +102,12 @@
         return new ServiceLoad(name, free, queue.size());
     }
 
-    /** The executor with the lowest share of used slots, one that the request has not tried if possible. */
+    /** The usable executor with the lowest share of used slots, one that the request has not tried if possible. */
     @Nullable
     EndpointState pick(Request request, long nowMs) {
+        if (reserve.holdsBack(request, queue, load(nowMs).freeSlots(), capacity(nowMs), nowMs)) {
+            return null;
+        }
         List<EndpointState> best = new ArrayList<>();
         double bestScore = Double.POSITIVE_INFINITY;
         for (EndpointState executor : executors.values()) {
