--- a/library/src/main/java/io/radishspindle/routing/CallerResponder.java
+++ b/library/src/main/java/io/radishspindle/routing/CallerResponder.java
@@ -1,6 +1,7 @@
 package io.radishspindle.routing;
 
 import io.radishspindle.entry.http.FailureResponse;
+import io.radishspindle.error.ErrorCode;
 import io.radishspindle.error.Failure;
 import io.radishspindle.platform.ExecutorClient.ServiceResponse;
 import io.vertx.core.Context;
@@ -46,6 +47,11 @@
         context.runOnContext(v -> writeFailure(failure));
     }
 
+    @Override
+    public boolean isGone() {
+        return request.response().closed();
+    }
+
     private void write(ServiceResponse answer, List<Map.Entry<String, String>> headers) {
         HttpServerResponse response = request.response();
         if (response.closed() || response.ended()) {
@@ -64,7 +70,8 @@
     private void writeFailure(Failure failure) {
         HttpServerResponse response = request.response();
         boolean unread = BodyReader.leavesBodyUnread(failure);
-        if (unread && !response.closed() && !response.headWritten()) {
+        boolean leave = unread || failure.code() == ErrorCode.SHUTTING_DOWN;
+        if (leave && !response.closed() && !response.headWritten()) {
             response.putHeader("Connection", "close");
         }
         Future<Void> written = BodyReader.isTooLarge(failure)
--- a/library/src/main/java/io/radishspindle/routing/OutcomeObserver.java
+++ b/library/src/main/java/io/radishspindle/routing/OutcomeObserver.java
@@ -21,7 +21,7 @@
         if (outcome instanceof AttemptOutcome.Answered answered) {
             answered(service, request, executor, answered, nowMs);
         } else if (outcome instanceof AttemptOutcome.Busy busy) {
-            stats.busy++;
+            stats.busy.increment();
             signal(executor, busy.leaving(), nowMs);
             executor.busyUntilMs = nowMs + BUSY_PAUSE_MS;
         } else if (outcome instanceof AttemptOutcome.Failed failed && !failed.isCallersFault()) {
@@ -70,7 +70,7 @@
             service.outliers.failed(executor, nowMs);
         }
         if (outcome.failure().notRun()) {
-            stats.unreachable++;
+            stats.unreachable.increment();
         }
     }
 }
--- a/library/src/main/java/io/radishspindle/routing/OutlierDetector.java
+++ b/library/src/main/java/io/radishspindle/routing/OutlierDetector.java
@@ -26,18 +26,14 @@
 
     private final Collection<EndpointState> executors;
     private final boolean enabled;
-    private long ejections;
+    private final RoutingStats stats;
 
-    OutlierDetector(Collection<EndpointState> executors, RoutingLimits limits) {
+    OutlierDetector(Collection<EndpointState> executors, RoutingLimits limits, RoutingStats stats) {
         this.executors = executors;
+        this.stats = stats;
         enabled = limits.has(Safeguard.OUTLIER_EJECTION);
     }
 
-    /** Ejections since the start. */
-    long ejections() {
-        return ejections;
-    }
-
     /**
      * Takes a good answer.
      *
@@ -106,7 +102,7 @@
         executor.consecutiveFailures = 0;
         executor.latencySamples = 0;
         executor.slowness = 0;
-        ejections++;
+        stats.ejections.increment();
     }
 
     private boolean mayEject(long nowMs) {
--- a/library/src/main/java/io/radishspindle/routing/RequestService.java
+++ b/library/src/main/java/io/radishspindle/routing/RequestService.java
@@ -31,6 +31,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.apache.commons.rng.simple.RandomSource;
+import org.tinylog.Logger;
 
 /**
  * Routes requests of callers to slots of executors. Must be created on the event loop of the {@link PeerMessenger}; its
@@ -102,6 +103,7 @@
     /** Refuses new requests; completes when all requests in flight have been answered. */
     public Future<Void> drain() {
         draining = true;
+        Logger.info("event=routing_drain_started in_flight={}", inFlight.get());
         context.runOnContext(v -> {
             runtime.drain();
             completeDrain();
@@ -183,7 +185,9 @@
     }
 
     private void recorded(RequestArrived arrival, ServiceRequest request, Begun begun, Tracked tracked) {
-        if (begun instanceof Begun.Granted granted) {
+        if (begun instanceof Begun.Granted granted && tracked.isGone()) {
+            new KeyedResponder(keyed, granted.claim(), tracked).fail(Refusals.callerGone());
+        } else if (begun instanceof Begun.Granted granted) {
             runtime.submit(arrival, request, new KeyedResponder(keyed, granted.claim(), tracked));
         } else {
             KeyedResponder.repeat(begun, tracked);
@@ -228,8 +232,8 @@
     }
 
     private void completeDrain() {
-        if (draining && inFlight.get() == 0) {
-            idle.tryComplete();
+        if (draining && inFlight.get() == 0 && idle.tryComplete()) {
+            Logger.info("event=routing_drain_finished");
         }
     }
 
@@ -254,6 +258,11 @@
             done();
         }
 
+        @Override
+        public boolean isGone() {
+            return target.isGone();
+        }
+
         private void done() {
             inFlight.decrementAndGet();
             context.runOnContext(v -> completeDrain());
--- a/library/src/main/java/io/radishspindle/routing/Responder.java
+++ b/library/src/main/java/io/radishspindle/routing/Responder.java
@@ -8,4 +8,9 @@
     void answer(ServiceResponse response);
 
     void fail(Failure failure);
+
+    /** True if nobody waits for the answer any more. */
+    default boolean isGone() {
+        return false;
+    }
 }
--- a/library/src/main/java/io/radishspindle/routing/RoutingCore.java
+++ b/library/src/main/java/io/radishspindle/routing/RoutingCore.java
@@ -44,7 +44,7 @@
     public RoutingCore(RoutingLimits limits, long seed) {
         this.limits = limits;
         UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create(seed);
-        services = new ServiceTable(limits, random);
+        services = new ServiceTable(limits, random, stats);
         admission = new Admission(limits, random);
         observer = new OutcomeObserver(limits, stats);
     }
@@ -167,7 +167,7 @@
         request.executor = executor;
         request.triedEndpoints.add(executor.id());
         executor.inUse++;
-        stats.sent++;
+        stats.sent.increment();
         Endpoint to = executor.endpoint;
         actions.add(new RoutingAction.SendToExecutor(
                 request.id(), request.attempt, to.id(), to.host(), to.port(), request.deadlineAtMs()));
@@ -177,7 +177,7 @@
         start(request);
         request.peer = peer;
         service.peers.forwarded(peer);
-        stats.forwarded++;
+        stats.forwarded.increment();
         actions.add(new RoutingAction.ForwardToPeer(request.id(), request.attempt, peer, request.deadlineAtMs()));
     }
 
@@ -193,7 +193,7 @@
                 && request.phase != Phase.QUEUED
                 && (request.attempt == event.attempt() || !limits.has(Safeguard.ATTEMPT_MATCHING));
         if (request == null || !matches) {
-            stats.unexpectedAnswers++;
+            stats.unexpectedAnswers.increment();
             return;
         }
         ServiceState service = services.get(request.arrival.service());
@@ -215,7 +215,7 @@
 
     private void conclude(ServiceState service, Request request, @Nullable String peer, AttemptOutcome outcome) {
         if (outcome instanceof AttemptOutcome.Answered) {
-            stats.delivered++;
+            stats.delivered.increment();
             requests.remove(request.id());
             actions.add(new RoutingAction.Deliver(request.id(), request.attempt));
         } else if (outcome instanceof AttemptOutcome.Busy) {
@@ -281,7 +281,7 @@
             expireQueued(service, request);
             return;
         }
-        stats.retries++;
+        stats.retries.increment();
         request.phase = Phase.QUEUED;
         service.queue.addFirst(request, nowMs);
     }
@@ -315,7 +315,7 @@
             switch (probe.result()) {
                 case LIVE -> executor.sawLiveProbe(probe.sentAtMs());
                 case LEAVING -> observer.probedLeaving(executor, probe.sentAtMs(), nowMs);
-                case MISSED -> stats.missedProbes++;
+                case MISSED -> stats.missedProbes.increment();
             }
             dispatch(service);
         }
@@ -377,7 +377,7 @@
     }
 
     private void abandon(Request request) {
-        stats.abandoned++;
+        stats.abandoned.increment();
         requests.remove(request.id());
         actions.add(new RoutingAction.Abandon(request.id(), !isNotRun(request)));
     }
--- a/library/src/main/java/io/radishspindle/routing/RoutingRuntime.java
+++ b/library/src/main/java/io/radishspindle/routing/RoutingRuntime.java
@@ -22,7 +22,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
+import org.tinylog.Logger;
 
 /**
  * Feeds a {@link RoutingCore} and carries out its actions. All methods but {@link #loads} and {@link #leavingEndpoints}
@@ -60,6 +62,7 @@
     private volatile List<ServiceLoad> loads = List.of();
     private volatile List<String> leavingEndpoints = List.of();
     private boolean draining;
+    private long ejections;
     private long timer = -1;
 
     RoutingRuntime(
@@ -80,6 +83,7 @@
     }
 
     void start() {
+        registerMetrics();
         timer = vertx.setPeriodic(RoutingLimits.TICK_MS, id -> context.runOnContext(v -> tick()));
     }
 
@@ -131,7 +135,31 @@
 
     private void publish() {
         loads = core.loads(clock.nowMs());
-        leavingEndpoints = core.leavingEndpoints();
+        List<String> leaving = core.leavingEndpoints();
+        if (!leaving.equals(leavingEndpoints)) {
+            Logger.info("event=endpoints_leaving endpoints={}", leaving);
+        }
+        leavingEndpoints = leaving;
+        long total = core.stats().ejections();
+        if (total != ejections) {
+            Logger.warn("event=executors_ejected total={}", total);
+        }
+        ejections = total;
+    }
+
+    private void registerMetrics() {
+        RoutingStats stats = core.stats();
+        Map<String, LongSupplier> gauges = Map.of(
+                "sent", stats::sent,
+                "forwarded", stats::forwarded,
+                "delivered", stats::delivered,
+                "retries", stats::retries,
+                "busy", stats::busy,
+                "unreachable", stats::unreachable,
+                "abandoned", stats::abandoned,
+                "missed_probes", stats::missedProbes,
+                "ejections", stats::ejections);
+        gauges.forEach((name, value) -> metrics.gauge("routing." + name, () -> value::getAsLong));
     }
 
     private void feed(RoutingEvent event) {
--- a/library/src/main/java/io/radishspindle/routing/RoutingStats.java
+++ b/library/src/main/java/io/radishspindle/routing/RoutingStats.java
@@ -1,73 +1,81 @@
 package io.radishspindle.routing;
 
-/** Counters of a {@link RoutingCore} since its start. Belongs to the core's event loop; not thread-safe. */
+import java.util.concurrent.atomic.LongAdder;
+
+/** Counters of a {@link RoutingCore} since its start. Written by the core's event loop, readable by any thread. */
 public final class RoutingStats {
-    long sent;
-    long forwarded;
-    long delivered;
-    long retries;
-    long busy;
-    long unreachable;
-    long refusedNotRun;
-    long refusedUnknown;
-    long abandoned;
-    long unexpectedAnswers;
-    long missedProbes;
+    final LongAdder sent = new LongAdder();
+    final LongAdder forwarded = new LongAdder();
+    final LongAdder delivered = new LongAdder();
+    final LongAdder retries = new LongAdder();
+    final LongAdder busy = new LongAdder();
+    final LongAdder unreachable = new LongAdder();
+    final LongAdder refusedNotRun = new LongAdder();
+    final LongAdder refusedUnknown = new LongAdder();
+    final LongAdder abandoned = new LongAdder();
+    final LongAdder unexpectedAnswers = new LongAdder();
+    final LongAdder missedProbes = new LongAdder();
+    final LongAdder ejections = new LongAdder();
 
     void refused(boolean notRun) {
         if (notRun) {
-            refusedNotRun++;
+            refusedNotRun.increment();
         } else {
-            refusedUnknown++;
+            refusedUnknown.increment();
         }
     }
 
     /** Requests sent to executors, retries included. */
     public long sent() {
-        return sent;
+        return sent.sum();
     }
 
     public long forwarded() {
-        return forwarded;
+        return forwarded.sum();
     }
 
     public long delivered() {
-        return delivered;
+        return delivered.sum();
     }
 
     public long retries() {
-        return retries;
+        return retries.sum();
     }
 
     /** "Busy" answers of executors. */
     public long busy() {
-        return busy;
+        return busy.sum();
     }
 
     /** Attempts that never reached an executor. */
     public long unreachable() {
-        return unreachable;
+        return unreachable.sum();
     }
 
     public long refusedNotRun() {
-        return refusedNotRun;
+        return refusedNotRun.sum();
     }
 
     /** Failures with unknown outcome. */
     public long refusedUnknown() {
-        return refusedUnknown;
+        return refusedUnknown.sum();
     }
 
     public long abandoned() {
-        return abandoned;
+        return abandoned.sum();
     }
 
     /** Answers that belonged to no open attempt and were dropped. */
     public long unexpectedAnswers() {
-        return unexpectedAnswers;
+        return unexpectedAnswers.sum();
     }
 
     public long missedProbes() {
-        return missedProbes;
+        return missedProbes.sum();
+    }
+
+    /** Times that an executor was taken out for failing or being slow. */
+    public long ejections() {
+        return ejections.sum();
     }
 }
--- a/library/src/main/java/io/radishspindle/routing/ServiceState.java
+++ b/library/src/main/java/io/radishspindle/routing/ServiceState.java
@@ -28,13 +28,13 @@
     private boolean known;
     private long usableAtMs = Long.MIN_VALUE;
 
-    ServiceState(String name, RoutingLimits limits, UniformRandomProvider random) {
+    ServiceState(String name, RoutingLimits limits, UniformRandomProvider random, RoutingStats stats) {
         this.name = name;
         this.limits = limits;
         this.random = random;
         queue = new RequestQueue(costs, limits);
         retryBudget = new RetryBudget(limits);
-        outliers = new OutlierDetector(executors.values(), limits);
+        outliers = new OutlierDetector(executors.values(), limits, stats);
         peers = new PeerTable(limits, random);
         reserve = new SlotReserve(limits);
     }
--- a/library/src/main/java/io/radishspindle/routing/ServiceTable.java
+++ b/library/src/main/java/io/radishspindle/routing/ServiceTable.java
@@ -16,10 +16,12 @@
 final class ServiceTable {
     private final RoutingLimits limits;
     private final UniformRandomProvider random;
+    private final RoutingStats stats;
     private final Map<String, ServiceState> services = new TreeMap<>();
     private final SlotTable slots = new SlotTable();
 
-    ServiceTable(RoutingLimits limits, UniformRandomProvider random) {
+    ServiceTable(RoutingLimits limits, UniformRandomProvider random, RoutingStats stats) {
+        this.stats = stats;
         this.limits = limits;
         this.random = random;
     }
@@ -49,7 +51,7 @@
             byService
                     .computeIfAbsent(endpoint.service(), name -> new ArrayList<>())
                     .add(endpoint);
-            services.computeIfAbsent(endpoint.service(), name -> new ServiceState(name, limits, random));
+            services.computeIfAbsent(endpoint.service(), name -> new ServiceState(name, limits, random, stats));
         }
         for (ServiceState service : services.values()) {
             service.update(view, byService.getOrDefault(service.name, List.of()), slots);
