--- a/library/src/main/java/io/radishspindle/routing/RoutingRuntime.java
+++ b/library/src/main/java/io/radishspindle/routing/RoutingRuntime.java
@@ -27,8 +27,8 @@
 import org.tinylog.Logger;
 
 /**
- * Feeds a {@link RoutingCore} and carries out its actions. All methods but {@link #loads} and {@link #leavingEndpoints}
- * must run on the given context.
+ * Feeds a {@link RoutingCore} and carries out its actions. All methods but {@link #loads} and {@link
+ * #leavingEndpoints} must run on the given context.
  *
  * <p>Invariant: {@code pending} holds exactly the requests without a final answer.
  */
