--- a/library/src/main/java/io/radishspindle/routing/OutcomeObserver.java
+++ b/library/src/main/java/io/radishspindle/routing/OutcomeObserver.java
@@ -21,7 +21,7 @@
         if (outcome instanceof AttemptOutcome.Answered answered) {
             answered(service, request, executor, answered, nowMs);
         } else if (outcome instanceof AttemptOutcome.Busy busy) {
-            stats.busy++;
+            stats.busy.increment();
             signal(executor, busy.leaving(), nowMs);
             executor.busyUntilMs = nowMs + BUSY_PAUSE_MS;
         } else if (outcome instanceof AttemptOutcome.Failed failed && !failed.isCallersFault()) {
@@ -52,12 +52,13 @@
             AttemptOutcome.Answered outcome,
             long nowMs) {
         double elapsedMs = nowMs - request.sentAtMs;
+        double expectedMs = service.costs.expectedMs(request.caller());
         service.costs.record(request.caller(), elapsedMs);
         signal(executor, outcome.leaving(), nowMs);
         if (outcome.status() >= FIRST_SERVER_ERROR) {
             service.outliers.answeredWithError(executor, request.caller(), nowMs);
         } else {
-            service.outliers.succeeded(executor, elapsedMs, nowMs);
+            service.outliers.succeeded(executor, elapsedMs, expectedMs, nowMs);
         }
     }
 
@@ -69,7 +70,7 @@
             service.outliers.failed(executor, nowMs);
         }
         if (outcome.failure().notRun()) {
-            stats.unreachable++;
+            stats.unreachable.increment();
         }
     }
 }
