--- a/demo-runner/src/main/java/io/radishspindle/demo/EndpointHistories.java
+++ b/demo-runner/src/main/java/io/radishspindle/demo/EndpointHistories.java
@@ -31,6 +31,11 @@
         return runs.getOrDefault(requestId, 0);
     }
 
+    /** How many runs of requests were started. */
+    public int started() {
+        return runs.values().stream().mapToInt(Integer::intValue).sum();
+    }
+
     /** Non-idempotent requests that were run more than once. */
     public List<String> nonIdempotentRunTwice() {
         List<String> found = new ArrayList<>();
--- a/demo-runner/src/main/java/io/radishspindle/demo/RequestDriver.java
+++ b/demo-runner/src/main/java/io/radishspindle/demo/RequestDriver.java
@@ -21,12 +21,13 @@
 final class RequestDriver implements AutoCloseable {
     private static final int MAX_ATTEMPTS = 60;
     private static final long RETRY_MS = 100;
-    private static final int SERVICE_MS = 20;
+    private static final int DEFAULT_SERVICE_MS = 20;
 
     private final Http http = new Http();
     private final List<EntryVm> vms;
     private final ExecutorService threads;
     private final long seed;
+    private volatile int serviceMs = DEFAULT_SERVICE_MS;
 
     /** Attempts that were answered by an endpoint. */
     final Set<String> answered = ConcurrentHashMap.newKeySet();
@@ -49,6 +50,11 @@
         this.threads = Executors.newFixedThreadPool(concurrency);
     }
 
+    /** Sets how long endpoints run each later request. */
+    void serviceMs(int newServiceMs) {
+        serviceMs = newServiceMs;
+    }
+
     /** Starts to send the requests with these numbers; the result ends when all have their outcome. */
     List<Future<?>> send(int from, int to) {
         List<Future<?>> running = new ArrayList<>();
@@ -77,7 +83,7 @@
 
     private Http.Result call(EntryVm vm, String service, String id, boolean idempotent) {
         Map<String, String> headers =
-                Map.of("Caller", "demo", "Request-Id", id, "Service-Time-Ms", Integer.toString(SERVICE_MS));
+                Map.of("Caller", "demo", "Request-Id", id, "Service-Time-Ms", Integer.toString(serviceMs));
         String url = vm.callersUrl() + "/services/" + service + "/pages/" + id;
         return http.call(idempotent ? "GET" : "POST", url, headers, idempotent ? "" : "body of " + id);
     }
