--- a/library/src/main/java/io/radishspindle/config/ChangeTask.java
+++ b/library/src/main/java/io/radishspindle/config/ChangeTask.java
@@ -40,6 +40,7 @@
     private final ChangeRequested request;
     private final String vmId;
     private final LongSupplier ids;
+    private final LongSupplier knownRevision;
     private final Mechanisms mechanisms;
     private final long deadlineAtMs;
     private final List<ConfigAction> actions = new ArrayList<>();
@@ -47,15 +48,26 @@
     private long awaitedId;
     private long nextAttemptAtMs;
     private long expectedVersion;
+    private long knownWhenRead;
     private boolean uncertain;
     private @Nullable Versioned result;
     private @Nullable Versioned latest;
 
-    /** @param ids gives ids for calls to the store */
-    ChangeTask(long nowMs, ChangeRequested request, String vmId, LongSupplier ids, Mechanisms mechanisms) {
+    /**
+     * @param ids gives ids for calls to the store
+     * @param knownRevision gives the revision in force at this VM
+     */
+    ChangeTask(
+            long nowMs,
+            ChangeRequested request,
+            String vmId,
+            LongSupplier ids,
+            LongSupplier knownRevision,
+            Mechanisms mechanisms) {
         this.request = request;
         this.vmId = vmId;
         this.ids = ids;
+        this.knownRevision = knownRevision;
         this.mechanisms = mechanisms;
         deadlineAtMs = nowMs + DEADLINE_MS;
         read(State.READING);
@@ -84,10 +96,12 @@
     private void read(State next) {
         state = next;
         awaitedId = ids.getAsLong();
+        knownWhenRead = knownRevision.getAsLong();
         actions.add(new Read(awaitedId, ConfigCore.KEY));
     }
 
-    void onRead(long nowMs, Either<Failure, Store.Entry> answer, long knownRevision) {
+    /** An answer that is older than what was known when it was asked for means that the store has lost changes. */
+    void onRead(long nowMs, Either<Failure, Store.Entry> answer) {
         if (answer.isLeft()) {
             onReadFailure(nowMs, answer.getLeft());
             return;
@@ -95,8 +109,8 @@
         Optional<Versioned> read = Versioned.of(answer.get());
         if (read.isEmpty()) {
             end(Failure.rejected(ErrorCode.INTERNAL, STEP, "the document in the store can't be read"));
-        } else if (read.get().revision() < knownRevision) {
-            storeWentBack(read.get().revision(), knownRevision);
+        } else if (read.get().revision() < knownWhenRead) {
+            storeWentBack(read.get().revision(), knownWhenRead);
         } else if (state == State.VERIFYING) {
             verify(read.get());
         } else {
@@ -113,9 +127,9 @@
         }
     }
 
-    private void storeWentBack(long storeRevision, long knownRevision) {
-        actions.add(new StoreWentBack(storeRevision, knownRevision));
-        String message = "the store holds revision " + storeRevision + ", but revision " + knownRevision
+    private void storeWentBack(long storeRevision, long known) {
+        actions.add(new StoreWentBack(storeRevision, known));
+        String message = "the store holds revision " + storeRevision + ", but revision " + known
                 + " was in force; the store has lost changes";
         end(uncertain ? Failure.unknown(STEP, "store", message) : Failure.rejected(ErrorCode.CONFLICT, STEP, message));
     }
--- a/library/src/main/java/io/radishspindle/config/ConfigCore.java
+++ b/library/src/main/java/io/radishspindle/config/ConfigCore.java
@@ -101,7 +101,7 @@
         } else if (event instanceof DocumentReceived e) {
             onDocument(nowMs, e.document(), actions);
         } else if (event instanceof ChangeRequested e) {
-            ChangeTask task = new ChangeTask(nowMs, e, self.id(), this::nextId, mechanisms);
+            ChangeTask task = new ChangeTask(nowMs, e, self.id(), this::nextId, this::revision, mechanisms);
             changes.add(task);
             collect(nowMs, task, actions);
         }
@@ -144,7 +144,7 @@
     private void onRead(long nowMs, ReadAnswered e, List<ConfigAction> actions) {
         for (ChangeTask task : List.copyOf(changes)) {
             if (task.awaits(e.id())) {
-                task.onRead(nowMs, e.answer(), revision());
+                task.onRead(nowMs, e.answer());
                 collect(nowMs, task, actions);
                 return;
             }
--- a/library/src/main/java/io/radishspindle/config/ConfigService.java
+++ b/library/src/main/java/io/radishspindle/config/ConfigService.java
@@ -148,6 +148,11 @@
                         entry -> entry.exists() ? ConfigCodec.decodeAudit(entry.value()) : List.<AuditEntry>of()));
     }
 
+    /** Number of the block that holds a revision which is no longer in the document. */
+    public static long auditBlockOf(long revision) {
+        return AuditBlocks.blockOf(revision);
+    }
+
     private void handle(ConfigEvent event) {
         if (closed) {
             return;
--- a/library/src/main/java/io/radishspindle/config/StoreFollower.java
+++ b/library/src/main/java/io/radishspindle/config/StoreFollower.java
@@ -13,12 +13,18 @@
  * Follows the document in the store: one read, then a watch that is renewed for ever. Deterministic; not thread-safe.
  *
  * <p>A dead watch and a quiet one look the same. Therefore a watch that has been quiet for {@link #QUIET_MS} is checked
- * by one read, and replaced if the read finds what the watch should have reported. The time is shorter than 5 s because
- * a change has to be in force everywhere within 5 s also when a watch is dead.
+ * by a second watch that waits no time: it costs one call and, unlike a read, carries the document only if it changed.
+ * The watch is replaced if the check finds what the watch should have reported, or gets no answer. Both times together
+ * are below 5 s, because a change has to be in force everywhere within 5 s also when a watch is dead. A rare read
+ * finds a store whose watches answer, but miss changes.
  */
 final class StoreFollower {
     static final long QUIET_MS = 3_000;
+    private static final long CHECK_TIMEOUT_MS = 1_000;
+    private static final long CHECK_WAIT_MS = 1;
+    private static final long READ_EVERY_MS = 60_000;
     private static final long WATCH_WAIT_MS = 30_000;
+    private static final long READ_TIMEOUT_MS = 5_000;
     private static final long FIRST_BACK_OFF_MS = 250;
     private static final long MAX_BACK_OFF_MS = 2_000;
     private static final long NONE = 0;
@@ -29,6 +35,9 @@
     private long readSentAtMs;
     private long watchId = NONE;
     private long watchSentAtMs;
+    private long checkId = NONE;
+    private long checkSentAtMs;
+    private long lastReadAtMs;
     private long lastContactAtMs;
     private long nextReadAtMs;
     private long backOffMs = FIRST_BACK_OFF_MS;
@@ -49,35 +58,56 @@
     void stop(long nowMs) {
         readId = NONE;
         watchId = NONE;
+        checkId = NONE;
         nextReadAtMs = nowMs;
     }
 
     void onTick(long nowMs, boolean watches, List<ConfigAction> actions) {
-        if (readId != NONE && nowMs - readSentAtMs >= QUIET_MS) {
-            readId = NONE;
-        }
-        if (watchId != NONE && nowMs - watchSentAtMs >= WATCH_WAIT_MS + QUIET_MS) {
-            dropWatch();
+        if (!watches) {
+            watchId = NONE;
+            checkId = NONE;
         }
+        expire(nowMs);
         if (watchId == NONE) {
             readWhenDue(nowMs, actions);
         } else if (checksQuietWatch && nowMs - lastContactAtMs >= QUIET_MS) {
-            readWhenDue(nowMs, actions);
+            check(nowMs, actions);
         }
-        if (!watches) {
-            watchId = NONE;
+    }
+
+    /** Gives up calls that were not answered in time. */
+    private void expire(long nowMs) {
+        if (readId != NONE && nowMs - readSentAtMs >= READ_TIMEOUT_MS) {
+            readId = NONE;
+        }
+        boolean checkUnanswered = checkId != NONE && nowMs - checkSentAtMs >= CHECK_TIMEOUT_MS;
+        boolean watchUnanswered = watchId != NONE && nowMs - watchSentAtMs >= WATCH_WAIT_MS + READ_TIMEOUT_MS;
+        if (checkUnanswered || watchUnanswered) {
+            dropWatch();
         }
     }
 
     private void dropWatch() {
         watchId = NONE;
+        checkId = NONE;
         deadWatches++;
     }
 
+    private void check(long nowMs, List<ConfigAction> actions) {
+        if (nowMs - lastReadAtMs >= READ_EVERY_MS) {
+            readWhenDue(nowMs, actions);
+        } else if (checkId == NONE) {
+            checkId = ids.getAsLong();
+            checkSentAtMs = nowMs;
+            actions.add(new Watch(checkId, ConfigCore.KEY, storeRevision, CHECK_WAIT_MS));
+        }
+    }
+
     private void readWhenDue(long nowMs, List<ConfigAction> actions) {
         if (readId == NONE && nowMs >= nextReadAtMs) {
             readId = ids.getAsLong();
             readSentAtMs = nowMs;
+            lastReadAtMs = nowMs;
             actions.add(new Read(readId, ConfigCore.KEY));
         }
     }
@@ -120,23 +150,34 @@
         return read;
     }
 
-    /** The document that the watch reported, if any. */
+    /** The document that the watch or its check reported, if any. */
     Optional<Versioned> onWatch(
             long nowMs, long id, Either<Failure, Store.Changes> answer, List<ConfigAction> actions) {
-        boolean current = id == watchId;
+        boolean isWatch = id == watchId;
+        boolean isCheck = id == checkId;
         if (answer.isLeft()) {
-            if (current) {
+            if (isWatch || isCheck) {
                 watchId = NONE;
+                checkId = NONE;
                 backOff(nowMs);
             }
             return Optional.empty();
         }
-        if (current) {
+        Store.Changes changes = answer.get();
+        if (isWatch || isCheck) {
             contact(nowMs);
-            storeRevision = Math.max(storeRevision, answer.get().revision());
+            storeRevision = Math.max(storeRevision, changes.revision());
+        }
+        if (isCheck) {
+            checkId = NONE;
+            if (!changes.entries().isEmpty()) {
+                dropWatch();
+            }
+        }
+        if (isWatch || (isCheck && watchId == NONE)) {
             watch(nowMs, actions);
         }
-        return answer.get().entries().stream()
+        return changes.entries().stream()
                 .filter(entry -> entry.key().equals(ConfigCore.KEY))
                 .reduce((first, second) -> second)
                 .flatMap(Versioned::of);
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/entry/operator/package-info.java
@@ -0,0 +1,3 @@
+/** Parts of the HTTP interface for operators. */
+@org.jspecify.annotations.NullMarked
+package io.radishspindle.entry.operator;
--- a/library/src/main/java/io/radishspindle/membership/MemberState.java
+++ b/library/src/main/java/io/radishspindle/membership/MemberState.java
@@ -1,6 +1,7 @@
 package io.radishspindle.membership;
 
 import io.radishspindle.membership.MembershipView.Liveness;
+import io.radishspindle.model.Resources;
 import java.util.List;
 
 /**
@@ -21,6 +22,15 @@
         return new MemberState(vmId, Liveness.SUSPECT, 0, List.of(), List.of(), List.of());
     }
 
+    /** The state without numbers that change with each start and each request. */
+    MemberState withoutLoad() {
+        List<GroupSummary> idle = groups.stream()
+                .map(g -> new GroupSummary(
+                        g.group(), g.epoch(), Resources.NONE, Resources.NONE, Resources.NONE, 0, g.ready()))
+                .toList();
+        return new MemberState(vmId, liveness, configRevision, idle, List.of(), leavingEndpoints);
+    }
+
     MemberState withLiveness(Liveness changed) {
         return new MemberState(vmId, changed, configRevision, groups, services, leavingEndpoints);
     }
--- a/library/src/main/java/io/radishspindle/membership/RemoteDataCentre.java
+++ b/library/src/main/java/io/radishspindle/membership/RemoteDataCentre.java
@@ -19,8 +19,10 @@
     /** A digest is passed on completely after this time, for VMs that started since the last change. */
     private static final long FULL_EVERY_MS = 5_000;
 
+    private static final long LOAD_EVERY_MS = 3_000;
+
     /** State of a member as last sent, and in which digest. */
-    private record SentState(MemberState state, long sequence) {}
+    private record SentState(MemberState state, long sequence, long sentAtMs) {}
 
     private final Peer.Timing timing;
     private final TreeSet<String> vmIds = new TreeSet<>();
@@ -135,11 +137,11 @@
         List<MemberState> changed = new ArrayList<>();
         for (MemberState member : own) {
             SentState previous = sent.get(member.vmId());
-            if (previous == null || !previous.state().equals(member)) {
-                sent.put(member.vmId(), new SentState(member, sentSequence));
+            if (previous == null || isWorthSending(previous, member, nowMs)) {
+                sent.put(member.vmId(), new SentState(member, sentSequence, nowMs));
                 changed.add(member);
             } else if (previous.sequence() > ackedSequence) {
-                changed.add(member);
+                changed.add(previous.state());
             }
         }
         long acked = toVm.equals(relayVm) ? relaySequence : 0;
@@ -148,6 +150,15 @@
                 ownDataCentre, localVm, localIncarnation, sentSequence, ackedIncarnation, acked, false, changed);
     }
 
+    /** Load numbers change all the time and only guide choices, so they cross regions less often than other changes. */
+    private static boolean isWorthSending(SentState previous, MemberState member, long nowMs) {
+        if (previous.state().equals(member)) {
+            return false;
+        }
+        boolean loadOnly = previous.state().withoutLoad().equals(member.withoutLoad());
+        return !loadOnly || nowMs - previous.sentAtMs() >= LOAD_EVERY_MS;
+    }
+
     /** The digest as it is passed on inside the own data centre: complete after a change, else only a sign of life. */
     RelayDigest passedOn(long nowMs, RelayDigest received) {
         boolean full =
--- a/library/src/main/java/io/radishspindle/protocol/PeerCodec.java
+++ b/library/src/main/java/io/radishspindle/protocol/PeerCodec.java
@@ -13,6 +13,9 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
 /**
@@ -74,6 +77,7 @@
 
     /** Decodes a value; throws {@link ProtocolException} if the bytes are not one. */
     static <T> T decode(byte[] bytes, Class<T> type) {
+        checkStructure(bytes, type);
         try {
             @Nullable T value = MAPPER.readValue(bytes, type);
             if (value == null) {
@@ -85,6 +89,21 @@
         }
     }
 
+    /**
+     * Walks over the value without reading it. The parser allocates what a length field says before it looks for the
+     * bytes, so a frame of a few bytes could otherwise exhaust the memory.
+     */
+    private static void checkStructure(byte[] bytes, Class<?> type) {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+            unpacker.skipValue();
+            if (unpacker.hasNext()) {
+                throw new ProtocolException("bytes after the end of " + type.getSimpleName());
+            }
+        } catch (IOException | MessagePackException e) {
+            throw new ProtocolException("not a valid " + type.getSimpleName() + ": " + firstLine(e), e);
+        }
+    }
+
     private static String firstLine(Exception e) {
         return String.valueOf(e.getMessage()).lines().findFirst().orElse("");
     }
--- /dev/null
+++ b/library/src/test/java/io/radishspindle/protocol/HostilePeersTest.java
@@ -0,0 +1,205 @@
+package io.radishspindle.protocol;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.radishspindle.error.Failure;
+import io.radishspindle.platform.SystemClock;
+import io.radishspindle.protocol.message.ConfigPull;
+import io.radishspindle.protocol.message.Done;
+import io.vavr.control.Either;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetSocket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards a VM against connections that break the protocol: each is closed, and other peers are not affected. */
+class HostilePeersTest {
+    private static final String KEY = "0123456789abcdef";
+    private static final long LONG_MS = 20_000;
+
+    private final Vertx vertx = Vertx.vertx();
+    private final NetClient client = vertx.createNetClient();
+    private TcpPeerMessenger target;
+    private TcpPeerMessenger friend;
+
+    @BeforeEach
+    void start() {
+        target = new TcpPeerMessenger(vertx, new SystemClock(), "target", "127.0.0.1", 0, KEY, vm -> Optional.empty());
+        target.handle(ConfigPull.class, (from, pull) -> Future.succeededFuture(Either.right(new Done())));
+        await(target.start());
+        friend = new TcpPeerMessenger(
+                vertx,
+                new SystemClock(),
+                "friend",
+                "127.0.0.1",
+                0,
+                KEY,
+                vm -> Optional.of(new PeerDirectory.PeerAddress("127.0.0.1", target.port())));
+        await(friend.start());
+        assertThat(friendIsServed()).isTrue();
+    }
+
+    @AfterEach
+    void stop() {
+        await(vertx.close());
+    }
+
+    private static <T> T await(Future<T> future) {
+        return future.toCompletionStage()
+                .toCompletableFuture()
+                .orTimeout(30, TimeUnit.SECONDS)
+                .join();
+    }
+
+    private boolean friendIsServed() {
+        Either<Failure, Done> reply = await(friend.request("target", new ConfigPull(1), Done.class, LONG_MS));
+        return reply.isRight();
+    }
+
+    /** Opens a connection, sends the bytes and yields what came back once the connection is closed. */
+    private CompletableFuture<Buffer> attack(Buffer bytes) {
+        CompletableFuture<Buffer> closed = new CompletableFuture<>();
+        Buffer received = Buffer.buffer();
+        client.connect(target.port(), "127.0.0.1").onSuccess(socket -> {
+            socket.handler(received::appendBuffer);
+            socket.exceptionHandler(e -> {});
+            socket.closeHandler(ignored -> closed.complete(received));
+            socket.write(bytes);
+        });
+        return closed.orTimeout(30, TimeUnit.SECONDS);
+    }
+
+    private static Buffer frame(Object content) {
+        byte[] bytes = PeerCodec.encode(content);
+        return Buffer.buffer().appendInt(bytes.length).appendBytes(bytes);
+    }
+
+    private static Buffer hostile(String kind) {
+        byte[] nonce = new byte[PeerAuthenticator.NONCE_BYTES];
+        return switch (kind) {
+            case "oversized" -> Buffer.buffer().appendInt(Integer.MAX_VALUE);
+            case "oversized-before-handshake" -> Buffer.buffer().appendInt(PeerCodec.MAX_HANDSHAKE_BYTES + 1);
+            case "negative-length" -> Buffer.buffer().appendInt(-1);
+            case "empty" -> Buffer.buffer().appendInt(0);
+            case "http" -> Buffer.buffer("GET / HTTP/1.1\r\nHost: target\r\n\r\n");
+            case "newer-version" -> frame(new Frame(Frame.VERSION + 1, Frame.PROOF, new byte[0]));
+            case "message-before-handshake" -> PeerCodec.encodeMessage(1, new ConfigPull(1));
+            case "hello-from-client" -> PeerCodec.encodeFrame(Frame.HELLO, new Frame.Hello("evil", nonce));
+            case "wrong-code" -> PeerCodec.encodeFrame(Frame.PROOF, new Frame.Proof("evil", nonce, new byte[32]));
+            case "short-nonce" ->
+                PeerCodec.encodeFrame(Frame.PROOF, new Frame.Proof("evil", new byte[1], new byte[32]));
+            case "null-fields" -> PeerCodec.encodeFrame(Frame.PROOF, List.of());
+            case "own-name" -> PeerCodec.encodeFrame(Frame.PROOF, new Frame.Proof("target", nonce, new byte[32]));
+            default -> throw new IllegalArgumentException(kind);
+        };
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "oversized",
+                "oversized-before-handshake",
+                "negative-length",
+                "empty",
+                "http",
+                "newer-version",
+                "message-before-handshake",
+                "hello-from-client",
+                "wrong-code",
+                "short-nonce",
+                "null-fields",
+                "own-name"
+            })
+    void should_close_a_connection_that_breaks_the_protocol(String kind) {
+        // given, when
+        Buffer answer = attack(hostile(kind)).join();
+
+        // then the peer is told why before the connection is closed
+        assertThat(answer.toString()).contains("peer.connect");
+        assertThat(friendIsServed()).isTrue();
+    }
+
+    @Test
+    void should_close_a_connection_that_stops_in_the_middle_of_a_frame() {
+        // given, when
+        Buffer answer =
+                attack(Buffer.buffer().appendInt(100).appendByte((byte) 1)).join();
+
+        // then only the greeting was sent
+        assertThat(answer.length()).isPositive();
+        assertThat(friendIsServed()).isTrue();
+    }
+
+    /** Guards against an OutOfMemoryError that five bytes of an unknown peer once caused. */
+    @ParameterizedTest
+    @ValueSource(ints = {0xc6, 0xc9, 0xdb, 0xdd, 0xdf})
+    void should_refuse_a_length_beyond_the_end_of_the_frame(int type) {
+        // given the header of a binary, extension, text, array or map of 2 GiB
+        byte[] header = Buffer.buffer()
+                .appendByte((byte) type)
+                .appendInt(Integer.MAX_VALUE - 8)
+                .getBytes();
+
+        // when, then
+        assertThatThrownBy(() -> PeerCodec.decode(header, Frame.class)).isInstanceOf(ProtocolException.class);
+    }
+
+    @Test
+    void should_survive_random_bytes() {
+        // given
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(7);
+        List<CompletableFuture<Buffer>> attacks = new ArrayList<>();
+
+        // when
+        for (int i = 0; i < 300; i++) {
+            byte[] bytes = new byte[1 + random.nextInt(200)];
+            random.nextBytes(bytes);
+            Buffer buffer = Buffer.buffer().appendInt(bytes.length).appendBytes(bytes);
+            attacks.add(attack(buffer));
+        }
+        attacks.forEach(CompletableFuture::join);
+
+        // then
+        assertThat(friendIsServed()).isTrue();
+    }
+
+    @Test
+    void should_serve_peers_while_silent_connections_pile_up() {
+        // given many more connections than are allowed before the handshake
+        List<NetSocket> sockets = new ArrayList<>();
+        for (int i = 0; i < 4 * PeerListener.MAX_UNAUTHENTICATED; i++) {
+            sockets.add(await(client.connect(target.port(), "127.0.0.1")));
+        }
+
+        // when a peer that is not connected yet sends a request
+        TcpPeerMessenger late = new TcpPeerMessenger(
+                vertx,
+                new SystemClock(),
+                "late",
+                "127.0.0.1",
+                0,
+                KEY,
+                vm -> Optional.of(new PeerDirectory.PeerAddress("127.0.0.1", target.port())));
+        await(late.start());
+        Either<Failure, Done> reply = await(late.request("target", new ConfigPull(1), Done.class, LONG_MS));
+
+        // then
+        assertThat(reply.isRight()).isTrue();
+        assertThat(friendIsServed()).isTrue();
+        assertThat(sockets).hasSize(4 * PeerListener.MAX_UNAUTHENTICATED);
+    }
+}
