--- a/library/src/main/java/io/radishspindle/placement/internal/JobState.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/JobState.java
@@ -14,8 +14,8 @@
 /**
  * A job and the state of its tasks. Not thread-safe.
  *
- * <p>Invariants: each task is in exactly one phase and {@code counts} holds the number of tasks per phase; a task is in
- * phase {@code LIVE} if and only if {@code live} holds its attempt.
+ * <p>Invariants: each task is in exactly one phase and {@code counts} holds the number of tasks per phase; a task
+ * is in phase {@code LIVE} if and only if {@code live} holds its attempt.
  */
 final class JobState {
     final JobSpec spec;
@@ -23,6 +23,7 @@
     final long sequence;
 
     final long acceptedAtMs;
+    final Family family;
     final Map<Integer, Attempt> live = new HashMap<>();
     final BitSet ready = new BitSet();
     final int[] failures;
@@ -54,8 +55,9 @@
     @Nullable
     String lastProblem;
 
-    JobState(JobSpec spec, long sequence, long acceptedAtMs) {
+    JobState(JobSpec spec, Family family, long sequence, long acceptedAtMs) {
         this.spec = spec;
+        this.family = family;
         this.sequence = sequence;
         this.acceptedAtMs = acceptedAtMs;
         this.demand = spec.perTask();
@@ -66,6 +68,11 @@
         counts[TaskPhase.DELAYED.ordinal()] = spec.tasks();
     }
 
+    /** Expected run time of a task; services run for ever. */
+    long expectedRunMs() {
+        return spec.jobClass() == JobClass.SERVICE ? Long.MAX_VALUE : family.expectedRunMs(spec);
+    }
+
     boolean isGang() {
         return spec.jobClass() == JobClass.ALL_AT_ONCE;
     }
