--- a/library/src/main/java/io/radishspindle/config/ConfigService.java
+++ b/library/src/main/java/io/radishspindle/config/ConfigService.java
@@ -1,5 +1,7 @@
 package io.radishspindle.config;
 
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
 import io.radishspindle.config.ConfigAction.Applied;
 import io.radishspindle.config.ConfigAction.ChangeEnded;
 import io.radishspindle.config.ConfigAction.Pull;
@@ -33,6 +35,7 @@
 import io.vertx.core.Vertx;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.UUID;
@@ -57,6 +60,7 @@
     private final List<Consumer<FleetConfig>> listeners = new CopyOnWriteArrayList<>();
     private final Map<Long, Promise<Either<Failure, FleetConfig>>> changes = new HashMap<>();
     private volatile Optional<FleetConfig> current = Optional.empty();
+    private MetricRegistry metrics = new MetricRegistry();
     private long lastChange;
     private long timer = -1;
     private boolean closed;
@@ -71,6 +75,13 @@
         core = new ConfigCore(clock.nowMs(), settings, Mechanisms.ALL);
     }
 
+    /** Registers the revision in force, the number of dead watches found, and changes by their outcome. */
+    public void setMetrics(MetricRegistry registry) {
+        metrics = registry;
+        registry.gauge("config.revision", () -> (Gauge<Long>) this::revision);
+        registry.gauge("config.dead-watches", () -> (Gauge<Integer>) core::deadWatches);
+    }
+
     /** Starts to follow the configuration; {@link #current} stays empty until the store or a peer has answered. */
     public Future<Void> start() {
         Promise<Void> started = Promise.promise();
@@ -186,6 +197,7 @@
         } else if (action instanceof Applied applied) {
             apply(applied.config());
         } else if (action instanceof StoreWentBack e) {
+            metrics.counter("config.store-went-back").inc();
             Logger.error(
                     "event=store_went_back store_revision={} known_revision={}", e.storeRevision(), e.knownRevision());
         }
@@ -199,6 +211,14 @@
     private void endChange(ChangeEnded ended) {
         Promise<Either<Failure, FleetConfig>> promise = changes.remove(ended.changeNumber());
         if (promise != null) {
+            String outcome = ended.result()
+                    .fold(
+                            failure -> failure.code()
+                                    .name()
+                                    .toLowerCase(Locale.ROOT)
+                                    .replace('_', '-'),
+                            c -> "applied");
+            metrics.counter("config.changes." + outcome).inc();
             promise.complete(ended.result());
         }
     }
--- a/library/src/main/java/io/radishspindle/membership/Directory.java
+++ b/library/src/main/java/io/radishspindle/membership/Directory.java
@@ -11,6 +11,7 @@
 import io.radishspindle.settings.EntrySettings;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableSet;
@@ -18,6 +19,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 
 /**
  * Addresses and placement of all VMs, from the settings and the newest VM list. Not thread-safe; belongs to the
@@ -27,8 +29,8 @@
     private final String self;
     private final String ownRegion;
     private final Map<String, String> regionOf = new HashMap<>();
-    private final Map<String, Vm> fixed = new TreeMap<>();
-    private Map<String, Vm> entryVms;
+    private final Set<String> listed = new HashSet<>();
+    private Map<String, Vm> entryVms = new TreeMap<>();
     private List<Worker> workers = List.of();
     private List<Vm> endpoints = List.of();
     private long version = Long.MIN_VALUE;
@@ -43,27 +45,30 @@
         }
         regionOf.put(vm.dataCentre(), vm.region());
         for (EntrySettings.Seed seed : settings.peers().seeds()) {
-            fixed.put(seed.id(), entryVm(seed.id(), seed.dataCentre(), seed.host(), seed.port()));
+            entryVms.put(seed.id(), entryVm(seed.id(), seed.dataCentre(), seed.host(), seed.port()));
         }
-        fixed.put(
+        entryVms.put(
                 self,
                 entryVm(self, vm.dataCentre(), vm.host(), settings.listen().peersPort()));
-        entryVms = new TreeMap<>(fixed);
     }
 
     private static Vm entryVm(String id, String dataCentre, String host, int port) {
         return new Vm(id, Kind.ENTRY, dataCentre, "", host, port, State.LIVE, "", 0, 0, Resources.NONE);
     }
 
-    /** Takes a list; false if it is older than the one in use. */
+    /** Takes a list; false if it is not newer than the one in use. VMs that it lacks are kept until {@link #prune}. */
     boolean update(VmList.Listing listing) {
         if (listing.version() <= version) {
             return false;
         }
         version = listing.version();
-        Map<String, Vm> listed = new TreeMap<>(fixed);
-        listing.vms().stream().filter(vm -> vm.kind() == Kind.ENTRY).forEach(vm -> listed.put(vm.id(), vm));
-        entryVms = listed;
+        listed.clear();
+        Map<String, Vm> known = new TreeMap<>(entryVms);
+        listing.vms().stream().filter(vm -> vm.kind() == Kind.ENTRY).forEach(vm -> {
+            known.put(vm.id(), vm);
+            listed.add(vm.id());
+        });
+        entryVms = known;
         workers = listing.vms().stream()
                 .filter(vm -> vm.kind() == Kind.WORKER)
                 .sorted(Comparator.comparing(Vm::id))
@@ -76,6 +81,16 @@
         return true;
     }
 
+    /**
+     * Forgets entry VMs that are dead and that the list lacks. The list lags, so a VM that is heard stays known; and a
+     * list without any entry VM is not believed.
+     */
+    void prune(Predicate<String> dead) {
+        if (!listed.isEmpty()) {
+            entryVms.keySet().removeIf(id -> !id.equals(self) && !listed.contains(id) && dead.test(id));
+        }
+    }
+
     private static Worker worker(Vm vm) {
         WorkerInfo info = new WorkerInfo(vm.id(), vm.dataCentre(), vm.rack(), vm.host(), vm.port(), vm.capacity());
         return new Worker(info, vm.state() == State.LEAVING);
--- a/library/src/main/java/io/radishspindle/membership/MembershipCore.java
+++ b/library/src/main/java/io/radishspindle/membership/MembershipCore.java
@@ -70,9 +70,9 @@
         } else if (event instanceof DigestReceived e) {
             onDigest(nowMs, e.fromVm(), e.digest(), actions);
         } else if (event instanceof ListingReceived e) {
-            if (directory.update(e.listing())) {
-                syncPeers(nowMs);
-            }
+            directory.update(e.listing());
+            directory.prune(id -> foreignState(nowMs, id).liveness() == Liveness.DEAD);
+            syncPeers(nowMs);
         } else if (event instanceof LocalStateChanged e) {
             local = new MemberState(
                     self, local.liveness(), e.configRevision(), e.groups(), e.services(), e.leavingEndpoints());
@@ -155,7 +155,7 @@
         }
     }
 
-    /** Adds peers that the list names and drops those that it no longer names and that are not heard either. */
+    /** Makes the peers those of the directory. */
     private void syncPeers(long nowMs) {
         for (String id : directory.vmIds()) {
             if (!id.equals(self) && directory.isSameRegion(id)) {
--- a/library/src/test/java/io/radishspindle/membership/MembershipTest.java
+++ b/library/src/test/java/io/radishspindle/membership/MembershipTest.java
@@ -173,6 +173,27 @@
                 .containsExactly(Liveness.LEAVING));
     }
 
+    @ParameterizedTest
+    @CsvSource({"true, true", "false, false"})
+    void should_forget_a_vm_that_the_list_lacks_only_when_it_is_dead(boolean running, boolean known) {
+        // given a list that names sel-1 and a worker, but not sel-2
+        MembershipFleet fleet = settled(1, TODAY);
+        fleet.vms.get("sel-2").running = running;
+        fleet.time.runFor(5_000);
+        MembershipCore core = fleet.vms.get("sel-1").core;
+        VmList.Vm listed = new VmList.Vm(
+                "sel-1", VmList.Kind.ENTRY, "sel", "", "h", 1, VmList.State.LIVE, "", 0, 0, Resources.NONE);
+
+        // when
+        core.handle(fleet.time.nowMs(), new MembershipEvent.ListingReceived(new VmList.Listing(1, List.of(listed))));
+
+        // then
+        assertThat(core.view(fleet.time.nowMs()).entryVms())
+                .extracting(MembershipView.EntryVm::id)
+                .hasSize(known ? 8 : 7)
+                .contains("sel-1", "sel-3", "pus-1");
+    }
+
     @Test
     void should_stay_within_the_byte_budget_at_the_two_year_size() {
         // given 28 VMs in 7 data centres and 3 regions whose load changes all the time
