--- a/library/src/main/java/io/radishspindle/config/ChangeTask.java
+++ b/library/src/main/java/io/radishspindle/config/ChangeTask.java
@@ -30,6 +30,7 @@
     private enum State {
         READING,
         WRITING_AUDIT,
+        WAITING_TO_RESTART,
         WRITING,
         WAITING_TO_REPEAT,
         VERIFYING,
@@ -177,7 +178,7 @@
     void onPut(long nowMs, Either<Failure, Long> answer) {
         boolean conflict = answer.isLeft() && answer.getLeft().code() == ErrorCode.CONFLICT;
         if (state == State.WRITING_AUDIT) {
-            onAuditWritten(answer, conflict);
+            onAuditWritten(nowMs, answer, conflict);
         } else if (answer.isRight()) {
             succeed();
         } else if (conflict) {
@@ -187,12 +188,15 @@
         }
     }
 
-    /** A block that another VM has written holds the same entries. */
-    private void onAuditWritten(Either<Failure, Long> answer, boolean conflict) {
+    /** A block that another VM has written holds the same entries; so does one whose answer was lost. */
+    private void onAuditWritten(long nowMs, Either<Failure, Long> answer, boolean conflict) {
         if (answer.isRight() || conflict) {
             write();
-        } else {
+        } else if (answer.getLeft().notRun()) {
             end(unavailable(answer.getLeft()));
+        } else {
+            state = State.WAITING_TO_RESTART;
+            nextAttemptAtMs = nowMs + RETRY_MS;
         }
     }
 
@@ -226,6 +230,8 @@
             write();
         } else if (state == State.WAITING_TO_VERIFY && nowMs >= nextAttemptAtMs) {
             read(State.VERIFYING);
+        } else if (state == State.WAITING_TO_RESTART && nowMs >= nextAttemptAtMs) {
+            read(State.READING);
         }
     }
 
--- a/library/src/test/java/io/radishspindle/config/FakeStore.java
+++ b/library/src/test/java/io/radishspindle/config/FakeStore.java
@@ -77,6 +77,10 @@
         oneWayMs = ms;
     }
 
+    void loseContents() {
+        entries.clear();
+    }
+
     int calls() {
         return calls;
     }
--- a/library/src/test/java/io/radishspindle/membership/MembershipTest.java
+++ b/library/src/test/java/io/radishspindle/membership/MembershipTest.java
@@ -7,6 +7,7 @@
 import io.radishspindle.model.Resources;
 import io.radishspindle.platform.VmList;
 import java.util.List;
+import java.util.LongSummaryStatistics;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -43,6 +44,8 @@
     @ParameterizedTest
     @CsvSource({"sel-1, 1100, 3100", "icn-1, 4100, 6100", "pus-2, 6200, 8200"})
     void should_find_a_dead_vm(String observer, long suspectLimitMs, long deadLimitMs) {
+        LongSummaryStatistics suspected = new LongSummaryStatistics();
+        LongSummaryStatistics dead = new LongSummaryStatistics();
         for (long seed = 1; seed <= 20; seed++) {
             // given
             MembershipFleet fleet = settled(seed, TODAY);
@@ -56,7 +59,10 @@
             long deadMs = suspectMs + fleet.timeUntil(observer, "sel-2", Liveness.DEAD, 20_000);
             assertThat(suspectMs).isBetween(500L, suspectLimitMs);
             assertThat(deadMs).isBetween(2_500L, deadLimitMs);
+            suspected.accept(suspectMs);
+            dead.accept(deadMs);
         }
+        System.out.printf("%s finds dead sel-2: suspect %s, dead %s%n", observer, suspected, dead);
     }
 
     @Test
@@ -86,6 +92,8 @@
         // when
         paused.setPaused(false);
 
+        System.out.printf("paused: suspect after %d ms%n", suspectMs);
+
         // then it notices the pause, and neither it nor its peers draw wrong conclusions
         assertThat(suspectMs).isBetween(500L, 1_100L);
         assertThat(paused.resumed).hasSize(1);
@@ -109,7 +117,9 @@
 
         // then both sides suspect each other
         long startMs = fleet.time.nowMs();
-        assertThat(fleet.timeUntil("sel-1", "sel-2", Liveness.SUSPECT, 5_000)).isBetween(500L, 1_900L);
+        long suspectMs = fleet.timeUntil("sel-1", "sel-2", Liveness.SUSPECT, 5_000);
+        System.out.printf("half-partitioned, mute %b: suspect after %d ms%n", mute, suspectMs);
+        assertThat(suspectMs).isBetween(500L, 1_900L);
         assertThat(fleet.timeUntil("sel-2", "sel-1", Liveness.SUSPECT, 5_000)).isNotNegative();
         assertThat(fleet.time.nowMs() - startMs).isLessThanOrEqualTo(1_900);
         assertThat(fleet.timeUntil("sel-1", "sel-2", Liveness.DEAD, 5_000)).isNotNegative();
--- a/library/src/test/java/io/radishspindle/protocol/TcpPeerMessengerTest.java
+++ b/library/src/test/java/io/radishspindle/protocol/TcpPeerMessengerTest.java
@@ -11,7 +11,9 @@
 import io.vavr.control.Either;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -154,4 +156,26 @@
         assertThat(failure.notRun()).isTrue();
         assertThat(failure.message()).contains("too large for a frame");
     }
+
+    @Test
+    void should_refuse_requests_beyond_the_bound_of_outstanding_ones() {
+        // given a connected peer that never answers
+        b.handle(ConfigPull.class, (from, pull) -> Future.future(never -> {}));
+        assertThat(await(a.request("b", new ConfigPull(0), Done.class, 2_000))
+                        .getLeft()
+                        .notRun())
+                .isFalse();
+
+        // when
+        List<Future<Either<Failure, Done>>> replies = new ArrayList<>();
+        for (int i = 0; i <= PeerLink.MAX_OUTSTANDING; i++) {
+            replies.add(a.request("b", new ConfigPull(i), Done.class, 3_000));
+        }
+
+        // then only the last one is refused, and it certainly did not run
+        Failure refusal = await(replies.get(PeerLink.MAX_OUTSTANDING)).getLeft();
+        assertThat(refusal.code()).isEqualTo(ErrorCode.OVERLOADED);
+        assertThat(refusal.notRun()).isTrue();
+        assertThat(await(replies.get(0)).getLeft().code()).isEqualTo(ErrorCode.OUTCOME_UNKNOWN);
+    }
 }
