--- a/operator-cli/src/main/java/io/radishspindle/cli/Arguments.java
+++ b/operator-cli/src/main/java/io/radishspindle/cli/Arguments.java
@@ -12,7 +12,8 @@
 /** Defines the command line. Stateless and thread-safe. */
 final class Arguments {
     static final String COMMAND = "command";
-    private static final String EXAMPLES =
+    private static final int WIDTH = 100;
+    static final String EXAMPLES =
             """
             examples:
               radishctl vms
@@ -21,7 +22,7 @@
               radishctl exceptions add team-quota-cores 512 --for team:layout \\
                   --until 2026-12-24T18:00:00Z --reason "graduation batch"
               radishctl exceptions end x42 --reason "batch is done"
-              radishctl audit --actor alice --since 2026-12-01T00:00:00Z --json
+              radishctl audit --by alice --since 2026-12-01T00:00:00Z --json
               radishctl jobs explain j-123
               radishctl groups --watch 2
 
@@ -33,6 +34,7 @@
     static ArgumentParser parser() {
         ArgumentParser parser = ArgumentParsers.newFor("radishctl")
                 .terminalWidthDetection(false)
+                .defaultFormatWidth(WIDTH)
                 .build()
                 .description("Shows the fleet, its configuration and its audit entries, and changes the configuration.")
                 .epilog(EXAMPLES + exitCodes());
--- a/operator-cli/src/main/java/io/radishspindle/cli/ExitCode.java
+++ b/operator-cli/src/main/java/io/radishspindle/cli/ExitCode.java
@@ -6,7 +6,7 @@
     REFUSED(1, "the request was refused; nothing was changed"),
     USAGE(2, "wrong arguments"),
     CONFLICT(3, "another change came first; nothing was changed"),
-    UNAVAILABLE(4, "no server answered, or the store is down; nothing was changed, try again later"),
+    UNAVAILABLE(4, "no server or store answered; nothing was changed"),
     UNKNOWN(5, "the outcome is unknown; look at the audit entries"),
     INCOMPLETE(6, "with --strict: the answer is incomplete because VMs can't be reached");
 
--- a/operator-cli/src/test/java/io/radishspindle/cli/RadishCtlTest.java
+++ b/operator-cli/src/test/java/io/radishspindle/cli/RadishCtlTest.java
@@ -1,6 +1,7 @@
 package io.radishspindle.cli;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatCode;
 
 import com.codahale.metrics.MetricRegistry;
 import io.radishspindle.config.ConfigService;
@@ -22,6 +23,7 @@
 import io.vertx.ext.web.Router;
 import java.io.PrintWriter;
 import java.io.StringWriter;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -228,6 +230,27 @@
         assertThat(run("config", "status", "--strict")).isEqualTo(ExitCode.INCOMPLETE);
     }
 
+    /** Guards against examples in the help that the parser refuses. */
+    @Test
+    void should_accept_the_examples_of_its_own_help() {
+        // given
+        String examples = Arguments.EXAMPLES.substring(0, Arguments.EXAMPLES.indexOf("exit codes"));
+        List<String> lines = examples.replace("\\\n", " ")
+                .lines()
+                .map(String::strip)
+                .filter(line -> line.startsWith("radishctl "))
+                .toList();
+
+        // when, then
+        assertThat(lines).hasSize(8);
+        for (String line : lines) {
+            String[] words = line.replaceAll("\"[^\"]*\"", "text").split(" +");
+            assertThatCode(() -> Arguments.parser().parseArgs(Arrays.copyOfRange(words, 1, words.length)))
+                    .as(line)
+                    .doesNotThrowAnyException();
+        }
+    }
+
     @Test
     void should_say_that_no_server_answers() {
         // given
