Bound the searches for borrowed room

Cause: GiveBack searched all workers for each waiting size of each team, also when no team was over its quota.

Change: nothing is searched while no team borrows, and at most 16 searches are made per run.

--- a/library/src/main/java/io/radishspindle/placement/internal/GiveBack.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/GiveBack.java
@@ -18,6 +18,8 @@
     private static final long MIN_WAIT_MS = 5_000;
     /** Two tasks every half second return a worker within seconds and bound the work that is lost. */
     private static final int MAX_TASKS_PER_RUN = 2;
+    /** Bounds the searches for room in one run; with many waiting sizes most find none. */
+    private static final int MAX_SEARCHES_PER_RUN = 16;
     /** A claim is given up after this, for example if a stopped task does not end. */
     private static final long CLAIM_MS = 10_000;
 
@@ -30,6 +32,7 @@
     private final RoomMaker rooms;
     private final List<Claim> claims = new ArrayList<>();
     private long nextAtMs;
+    private int searches;
 
     GiveBack(Parts parts, RoomMaker rooms) {
         this.context = parts.context;
@@ -65,6 +68,10 @@
             return;
         }
         nextAtMs = context.nowMs + INTERVAL_MS;
+        if (!queues.isAnyTeamBorrowing(context.policy)) {
+            return;
+        }
+        searches = 0;
         int left = reclaim(JobClass.SERVICE, MAX_TASKS_PER_RUN);
         reclaim(JobClass.BATCH, left);
     }
@@ -74,7 +81,7 @@
         ClassQueue queue = queues.of(jobClass);
         for (Team team : queue.teams()) {
             for (Bucket bucket : queue.bucketsOf(team)) {
-                if (left == 0) {
+                if (left == 0 || searches >= MAX_SEARCHES_PER_RUN) {
                     return 0;
                 }
                 if (isOwed(team, bucket) && reclaimFor(bucket.head(), team)) {
@@ -86,6 +93,7 @@
     }
 
     private boolean reclaimFor(JobState job, Team team) {
+        searches++;
         WorkerState worker = rooms.makeRoom(job.demand, a -> isBorrowed(a, team), StopReason.RECLAIMED);
         if (worker == null) {
             return false;
--- a/library/src/main/java/io/radishspindle/placement/internal/Queues.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/Queues.java
@@ -2,6 +2,7 @@
 
 import io.radishspindle.model.JobClass;
 import io.radishspindle.model.Resources;
+import io.radishspindle.placement.PlacementPolicy;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Map;
@@ -25,6 +26,10 @@
         return teams.computeIfAbsent(name, Team::new);
     }
 
+    boolean isAnyTeamBorrowing(PlacementPolicy policy) {
+        return teams.values().stream().anyMatch(team -> team.share(policy) > 1);
+    }
+
     ClassQueue of(JobClass jobClass) {
         ClassQueue queue = byClass.get(jobClass);
         if (queue == null) {
