--- a/library/src/main/java/io/radishspindle/ownership/Owner.java
+++ b/library/src/main/java/io/radishspindle/ownership/Owner.java
@@ -387,6 +387,8 @@
             return;
         }
         serving = true;
+        // Placement must know the epoch before it hears of attempts, or it takes them for those of a later owner.
+        desk.feed(new PlacementEvent.AuthorityChanged(false, record.epoch()));
         desk.recover(all ? fx.now() : majorityAtMs + timing.takeoverOpenMs());
         firstReplies.withoutReplaced().forEach((id, reply) -> {
             WorkerLink link = links.get(id);
@@ -400,7 +402,7 @@
     }
 
     private void updateMayStart() {
-        int bound = mayStart ? OwnershipTiming.MAX_UNJOURNALLED : OwnershipTiming.MAX_UNJOURNALLED / 2;
+        int bound = mayStart ? timing.maxUnjournalled() : timing.maxUnjournalled() / 2;
         boolean next = hasAuthority() && journal.unjournalled() <= bound;
         if (next != mayStart) {
             mayStart = next;
--- a/library/src/main/java/io/radishspindle/ownership/OwnershipTiming.java
+++ b/library/src/main/java/io/radishspindle/ownership/OwnershipTiming.java
@@ -10,6 +10,7 @@
  *     control lease), a message in flight counts for another, then the run lease must lapse
  * @param lostAfterMs how long tasks of an unreachable worker stay open, counted from the last time that the owner may
  *     have echoed to it
+ * @param maxUnjournalled bound of finishes that are not yet in the journal; starts stop above it
  * @param caretakerNeedsMajority always true in production; tests turn it off to show what it prevents
  */
 public record OwnershipTiming(
@@ -19,7 +20,10 @@
         long startGraceMs,
         long takeoverOpenMs,
         long lostAfterMs,
+        int maxUnjournalled,
         boolean caretakerNeedsMajority) {
+    private static final int MAX_UNJOURNALLED = 10_000;
+
     /** Finishes alone wait this long for company before they are written. */
     static final long FINISH_COMMIT_MS = 200;
 
@@ -32,9 +36,6 @@
     /** A lost worker stays in the ownership record for this long, so that a reboot does not change the record. */
     static final long KEEP_LOST_WORKER_MS = 30_000;
 
-    /** Bound of finishes that are not yet in the journal; starts stop above it. */
-    static final int MAX_UNJOURNALLED = 10_000;
-
     /** A submission whose journal write is undecided is answered as unknown after this time. */
     static final long SUBMIT_TIMEOUT_MS = 10_000;
 
@@ -59,6 +60,7 @@
                 settings.peers().suspectAfterMs(),
                 own.controlLeaseMs() + lost,
                 lost,
+                MAX_UNJOURNALLED,
                 true);
     }
 }
--- a/library/src/main/java/io/radishspindle/ownership/WorkerLink.java
+++ b/library/src/main/java/io/radishspindle/ownership/WorkerLink.java
@@ -48,6 +48,12 @@
         void superseded(WorkerLink link, ControlReply reply);
     }
 
+    private static final long FIRST_CLAIM_TIMEOUT_MS = 200;
+    private static final int MAX_DOUBLINGS = 8;
+
+    /** Pause after the first lost answer; doubled up to a heartbeat, so that a dead worker costs little. */
+    private static final long RETRY_MS = 50;
+
     final WorkerInfo worker;
     private final Effects fx;
     private final OwnershipTiming timing;
@@ -67,6 +73,8 @@
     private long echoReceivedAtMs = Quorum.NEVER;
     private long probedSentAtMs = Quorum.NEVER;
     private long echo;
+    /** Messages since the last accepted one. */
+    private int failures;
 
     WorkerLink(Effects fx, OwnershipTiming timing, long epoch, WorkerInfo worker, Listener listener) {
         this.fx = fx;
@@ -192,13 +200,22 @@
                 sentAcks);
         inFlight = true;
         nextSendAtMs = fx.now() + timing.heartbeatMs();
-        fx.control(worker, request, notAfterMs, timing.heartbeatMs(), (sentAt, result) -> {
+        fx.control(worker, request, notAfterMs, timeoutMs(mode), (sentAt, result) -> {
             if (!closed) {
                 answered(request, sentAt, result);
             }
         });
     }
 
+    /** A takeover waits for the slowest claim, so the first claims are given up early when a message was lost. */
+    private long timeoutMs(Mode mode) {
+        if (mode != Mode.CLAIM) {
+            return timing.heartbeatMs();
+        }
+        long timeout = Math.min(timing.heartbeatMs(), FIRST_CLAIM_TIMEOUT_MS << Math.min(failures, MAX_DOUBLINGS));
+        return timeout;
+    }
+
     private void answered(ControlRequest request, long sentAtMs, Either<Failure, ControlReply> result) {
         inFlight = false;
         if (result.isLeft()) {
@@ -210,6 +227,7 @@
             refused(reply);
             return;
         }
+        failures = 0;
         answeredSentAtMs = Math.max(answeredSentAtMs, sentAtMs);
         echoReceivedAtMs = fx.now();
         echo = reply.workerTimeMs();
@@ -229,7 +247,9 @@
 
     private void lostAnswer() {
         state = state == State.UNCLAIMED ? State.UNCLAIMED : State.PROBE;
-        nextSendAtMs = Math.min(nextSendAtMs, fx.now() + OwnershipTiming.RETRY_MS);
+        long pause = Math.min(timing.heartbeatMs(), RETRY_MS << Math.min(failures, MAX_DOUBLINGS));
+        failures++;
+        nextSendAtMs = Math.min(nextSendAtMs, fx.now() + pause);
     }
 
     private void refused(ControlReply reply) {
--- a/soak-runner/src/main/java/io/radishspindle/soak/Cell.java
+++ b/soak-runner/src/main/java/io/radishspindle/soak/Cell.java
@@ -12,6 +12,7 @@
 import io.radishspindle.placement.GroupPlacement;
 import io.vavr.control.Either;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -23,6 +24,9 @@
 /** One data centre: entry VMs, workers in racks, the store, a submitter, and the history. Not thread-safe. */
 final class Cell {
     private static final int GROUPS = 2;
+    /** Small, so that a store outage of a minute reaches it. */
+    private static final int MAX_UNJOURNALLED = 60;
+
     private static final int RACKS = 4;
     private static final long TICK_MS = 50;
     private static final long HEARTBEAT_MS = 250;
@@ -36,6 +40,8 @@
     final List<HistoryEvent> history = new ArrayList<>();
     final MetricRegistry metrics = new MetricRegistry();
     private final List<String> open = new ArrayList<>();
+    private final Map<String, String> groupOf = new HashMap<>();
+    private long paceMs = 400;
     private boolean submitting = true;
     private int lastJob;
 
@@ -59,13 +65,31 @@
                 1_000,
                 off.contains(Mechanism.OPEN_TASK_WAIT) ? 0 : 13_000,
                 off.contains(Mechanism.OPEN_TASK_WAIT) ? 0 : 10_000,
+                MAX_UNJOURNALLED,
                 !off.contains(Mechanism.CARETAKER_MAJORITY));
         EntryVm.Surroundings world =
                 new EntryVm.Surroundings(sim, network, store, byId, timing, GROUPS, placements, metrics);
         List<String> ids = IntStream.range(0, vmCount).mapToObj(i -> "vm" + i).toList();
         ids.forEach(id -> vms.add(new EntryVm(id, ids, world)));
         vms.forEach(this::startTimers);
-        sim.every(400, this::submit);
+        submitLater();
+    }
+
+    /** Sets the pause between submissions. */
+    void setPace(long ms) {
+        paceMs = ms;
+    }
+
+    /** The group to which a job was submitted. */
+    String groupOf(String jobId) {
+        return groupOf.getOrDefault(jobId, "");
+    }
+
+    private void submitLater() {
+        sim.after(paceMs, () -> {
+            submit();
+            submitLater();
+        });
     }
 
     void stopSubmitting() {
@@ -119,6 +143,7 @@
         }
         JobSpec job = newJob();
         history.add(new HistoryEvent.Submitted(sim.now(), job));
+        groupOf.put(job.id(), group);
         EntryVm target = owner.get();
         network.<JobStatus>call(
                 vm,
--- a/soak-runner/src/main/java/io/radishspindle/soak/Soak.java
+++ b/soak-runner/src/main/java/io/radishspindle/soak/Soak.java
@@ -1,11 +1,15 @@
 package io.radishspindle.soak;
 
+import io.radishspindle.placement.FairSharePlacement;
+import io.radishspindle.placement.GroupPlacement;
+import io.radishspindle.placement.PlacementPolicy;
 import java.util.Arrays;
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.LongFunction;
 import java.util.stream.Collectors;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
@@ -47,6 +51,10 @@
         parser.addArgument("--without")
                 .setDefault("none")
                 .help("comma-separated safety mechanisms to turn off: " + Mechanism.titles());
+        parser.addArgument("--placement")
+                .choices("fair", "first-fit")
+                .setDefault("fair")
+                .help("placement core: the product's, or the simplest one that obeys its contract");
         parser.addArgument("--trace").setDefault("").help("print the events that contain this text, for example w3");
         return parser;
     }
@@ -74,7 +82,7 @@
                     (long) (hours * MS_PER_HOUR),
                     faults,
                     off,
-                    n -> new FirstFitPlacement(),
+                    placements(options.getString("placement")),
                     options.getString("trace")));
             result.counts().forEach((name, count) -> totals.merge(name, count, Long::sum));
             if (!result.passed()) {
@@ -82,7 +90,7 @@
                 print(
                         result,
                         "./soak --seeds 1 --from " + seed + " --hours " + hours + " --faults " + faultTitles
-                                + " --without " + without);
+                                + " --without " + without + " --placement " + options.getString("placement"));
             }
         }
         totals.forEach((name, count) -> System.out.println(name + "=" + count));
@@ -90,6 +98,12 @@
         return failed == 0 ? 0 : 1;
     }
 
+    static LongFunction<GroupPlacement> placements(String name) {
+        return name.equals("fair")
+                ? seed -> new FairSharePlacement(seed, PlacementPolicy.DEFAULT)
+                : seed -> new FirstFitPlacement();
+    }
+
     private static List<Fault> faults(String titles) {
         return switch (titles) {
             case "all" -> List.of(Fault.values());
