--- a/library/src/main/java/io/radishspindle/placement/internal/FailurePolicy.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/FailurePolicy.java
@@ -17,13 +17,11 @@
     private static final int FULL_BUDGET_TASKS = 4;
 
     private final Context context;
-    private final Jobs jobs;
     private final Queues queues;
     private final Lifecycle lifecycle;
 
     FailurePolicy(Parts parts) {
         this.context = parts.context;
-        this.jobs = parts.jobs;
         this.queues = parts.queues;
         this.lifecycle = parts.lifecycle;
     }
@@ -37,7 +35,7 @@
             restart(job, index, attempt, what);
             return false;
         }
-        Family family = lifecycle.familyOf(job);
+        Family family = job.family;
         family.noteFailure(job.spec.id(), attempt.worker.id);
         job.failures[index]++;
         job.totalFailures++;
@@ -65,8 +63,8 @@
 
     /**
      * Whether a failed task is not tried again: it has used its attempts, or its job has used its retry budget. Each
-     * task of a small job may use all its attempts; a large job may retry as often as a quarter of its tasks could, so
-     * that a faulty job of many tasks costs little more than one attempt per task.
+     * task of a small job may use all its attempts; a large job may retry as often as a quarter of its tasks could,
+     * so that a faulty job of many tasks costs little more than one attempt per task.
      */
     private static boolean isExhausted(JobState job, int index) {
         int maxAttempts = job.spec.maxAttempts();
@@ -79,9 +77,9 @@
     }
 
     private void setAside(Family family) {
-        for (JobState job : new ArrayList<>(jobs.active())) {
-            boolean member = job.spec.family().equals(family.name) && job.spec.jobClass() != JobClass.SERVICE;
-            if (member && job.totalFailures > 0 && job.count(TaskPhase.SUCCEEDED) == 0) {
+        for (JobState job : new ArrayList<>(family.jobs)) {
+            boolean service = job.spec.jobClass() == JobClass.SERVICE;
+            if (!service && job.totalFailures > 0 && job.count(TaskPhase.SUCCEEDED) == 0) {
                 lifecycle.abandon(job, JobStatus.Phase.SET_ASIDE, family.failureSummary());
             }
         }
--- a/library/src/main/java/io/radishspindle/placement/internal/Family.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/Family.java
@@ -21,6 +21,9 @@
     private static final int SET_ASIDE_WORKERS = 2;
 
     final String name;
+    /** Jobs of the family that are not over. */
+    final Set<JobState> jobs = new LinkedHashSet<>();
+
     private final Deque<Resources> peaks = new ArrayDeque<>();
     private final Deque<Long> runTimes = new ArrayDeque<>();
     private final Set<String> failedJobs = new LinkedHashSet<>();
@@ -86,6 +89,11 @@
         failedWorkers.remove(workerId);
     }
 
+    /** Whether the family has failed on another worker since its last success. */
+    boolean failsElsewhere(String workerId) {
+        return failedWorkers.size() > (failedWorkers.contains(workerId) ? 1 : 0);
+    }
+
     boolean failsAlways() {
         return failedInRow >= SET_ASIDE_ATTEMPTS
                 && failedJobs.size() >= SET_ASIDE_JOBS
--- a/library/src/main/java/io/radishspindle/placement/internal/Lifecycle.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/Lifecycle.java
@@ -42,8 +42,9 @@
     }
 
     private JobState register(JobSpec spec) {
-        JobState job = new JobState(spec, jobs.nextSequence(), context.nowMs);
+        JobState job = new JobState(spec, families.of(spec.family()), jobs.nextSequence(), context.nowMs);
         jobs.add(job);
+        job.family.jobs.add(job);
         queues.noteJob(job);
         return job;
     }
@@ -205,13 +206,10 @@
             return true;
         }
         queues.noteRemoved(job);
+        job.family.jobs.remove(job);
         JobStatus status = explainer.finalStatus(job);
         jobs.end(job, status);
         context.emit(new PlacementAction.RecordJobEnd(job.spec.id(), status.phase(), status.explanation()));
         return true;
     }
-
-    Family familyOf(JobState job) {
-        return families.of(job);
-    }
 }
--- a/library/src/main/java/io/radishspindle/placement/internal/Placer.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/Placer.java
@@ -1,7 +1,7 @@
 package io.radishspindle.placement.internal;
 
 import io.radishspindle.model.JobClass;
-import io.radishspindle.model.Resources;
+import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -13,12 +13,11 @@
 final class Placer {
     private static final long IDLE_PASS_AFTER_MS = 1_000;
     /** A task that smaller ones pass by this long gets a reservation. */
-    private static final long RESERVE_AFTER_MS = 10_000;
+    private static final long RESERVE_AFTER_MS = 60_000;
 
     private final Context context;
     private final Queues queues;
     private final WorkerTable workers;
-    private final Ledger ledger;
     private final RoomMaker rooms;
     private final Reservations reservations;
     private final UrgentPass urgent;
@@ -26,17 +25,19 @@
     private final FairPass fair;
     private final GiveBack giveBack;
     private long nextIdlePassAtMs;
+    private long pass;
+    /** Tasks that need accelerators wait, so others leave room beside idle accelerators. */
+    private boolean acceleratorsWanted;
 
     Placer(Parts parts) {
         this.context = parts.context;
         this.queues = parts.queues;
         this.workers = parts.workers;
-        this.ledger = parts.ledger;
         this.rooms = new RoomMaker(parts);
         this.reservations = new Reservations(parts);
         this.urgent = new UrgentPass(parts, rooms);
         this.gangs = new GangPass(parts, reservations);
-        this.fair = new FairPass(context, ledger);
+        this.fair = new FairPass(parts, reservations);
         this.giveBack = new GiveBack(parts, rooms);
     }
 
@@ -47,12 +48,15 @@
         }
         queues.changed = false;
         nextIdlePassAtMs = context.nowMs + IDLE_PASS_AFTER_MS;
+        pass++;
         rooms.clear();
         reservations.refresh();
         urgent.run();
+        giveBack.settleClaims();
         fair.run(queues.of(JobClass.SERVICE), this::chooseForService);
         gangs.run();
         reserveForPassedBy();
+        acceleratorsWanted = queues.shapes.isAnyWithAccelerators();
         fair.run(queues.of(JobClass.BATCH), this::chooseForBatch);
         giveBack.run();
     }
@@ -80,22 +84,33 @@
     }
 
     private @Nullable WorkerState chooseForBatch(JobState job) {
-        return chosen(job, workers.bestFit(job.demand, worker -> reservations.allows(job, worker)));
+        Predicate<WorkerState> allowed = worker -> reservations.allows(job, worker)
+                && (!acceleratorsWanted || WorkerTable.leavesAcceleratorsUsable(worker, job.demand));
+        return chosen(job, workers.bestFit(job.demand, allowed));
     }
 
     private @Nullable WorkerState chosen(JobState job, @Nullable WorkerState worker) {
         if (worker != null) {
             reservations.noteStart(job, worker);
         } else {
-            blockIfNowhere(job.demand);
+            blockIfNowhere(job);
         }
         return worker;
     }
 
     /** Remembers a size that fits nowhere even without earmarks and reservations. */
-    private void blockIfNowhere(Resources demand) {
-        if (!rooms.hasEarmarks() && workers.bestFit(demand, w -> true) == null) {
-            ledger.block(demand);
+    private void blockIfNowhere(JobState job) {
+        Bucket bucket = job.bucket;
+        if (bucket != null && !bucket.shape.isKnownToFit(pass) && !rooms.hasEarmarks()) {
+            blockOrRemember(bucket.shape);
+        }
+    }
+
+    private void blockOrRemember(Shape shape) {
+        if (workers.bestFit(shape.demand, w -> true) == null) {
+            queues.shapes.block(shape);
+        } else {
+            shape.noteFits(pass);
         }
     }
 
@@ -108,9 +123,10 @@
         if (queue.isEmpty()) {
             return;
         }
-        JobState oldest = queue.bucketsByArrival().iterator().next().head();
+        Bucket first = queue.bucketsByArrival().iterator().next();
+        JobState oldest = first.head();
         boolean passedBy = context.nowMs - oldest.acceptedAtMs >= RESERVE_AFTER_MS;
-        if (passedBy && ledger.isBlocked(oldest.demand)) {
+        if (passedBy && first.shape.blocked) {
             reservations.reserve(oldest, 1);
         }
     }
--- a/library/src/main/java/io/radishspindle/routing/RoutingCore.java
+++ b/library/src/main/java/io/radishspindle/routing/RoutingCore.java
@@ -21,8 +21,8 @@
  * Decides where requests run: slots, queues, limits, retries, ejection. Deterministic: the same seed and events give
  * the same actions. Belongs to one event loop; not thread-safe.
  *
- * <p>Invariants: each request ends with exactly one of {@code Deliver}, {@code Refuse} and {@code Abandon}; at most one
- * attempt of a request is open; a failure claims "not run" only if no attempt can have run.
+ * <p>Invariants: each request ends with exactly one of {@code Deliver}, {@code Refuse} and {@code Abandon}; at most
+ * one attempt of a request is open; a failure claims "not run" only if no attempt can have run.
  */
 public final class RoutingCore {
     private static final Failure BUSY =
@@ -44,7 +44,7 @@
     public RoutingCore(RoutingLimits limits, long seed) {
         this.limits = limits;
         UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create(seed);
-        services = new ServiceTable(limits, random);
+        services = new ServiceTable(limits, random, stats);
         admission = new Admission(limits, random);
         observer = new OutcomeObserver(limits, stats);
     }
@@ -108,7 +108,8 @@
         }
         ServiceState service = services.get(arrival.service());
         service.retryBudget.requestArrived();
-        service.queue.add(request);
+        service.reserve.arrived(arrival.requestClass(), nowMs);
+        service.queue.add(request, nowMs);
         deadlines.add(request);
         dispatch(service);
     }
@@ -140,9 +141,14 @@
             if (request == null) {
                 return;
             }
+            if (limits.has(Safeguard.EARLY_REFUSAL) && service.isTooLate(request, nowMs)) {
+                service.queue.remove(request);
+                expireQueued(service, request);
+                continue;
+            }
             EndpointState executor = service.pick(request, nowMs);
             if (executor != null) {
-                service.queue.take(request);
+                service.queue.take(request, nowMs);
                 send(request, executor);
                 continue;
             }
@@ -150,7 +156,7 @@
             if (peer == null) {
                 return;
             }
-            service.queue.take(request);
+            service.queue.take(request, nowMs);
             forward(service, request, peer);
         }
     }
@@ -161,7 +167,7 @@
         request.executor = executor;
         request.triedEndpoints.add(executor.id());
         executor.inUse++;
-        stats.sent++;
+        stats.sent.increment();
         Endpoint to = executor.endpoint;
         actions.add(new RoutingAction.SendToExecutor(
                 request.id(), request.attempt, to.id(), to.host(), to.port(), request.deadlineAtMs()));
@@ -171,7 +177,7 @@
         start(request);
         request.peer = peer;
         service.peers.forwarded(peer);
-        stats.forwarded++;
+        stats.forwarded.increment();
         actions.add(new RoutingAction.ForwardToPeer(request.id(), request.attempt, peer, request.deadlineAtMs()));
     }
 
@@ -187,7 +193,7 @@
                 && request.phase != Phase.QUEUED
                 && (request.attempt == event.attempt() || !limits.has(Safeguard.ATTEMPT_MATCHING));
         if (request == null || !matches) {
-            stats.unexpectedAnswers++;
+            stats.unexpectedAnswers.increment();
             return;
         }
         ServiceState service = services.get(request.arrival.service());
@@ -209,7 +215,7 @@
 
     private void conclude(ServiceState service, Request request, @Nullable String peer, AttemptOutcome outcome) {
         if (outcome instanceof AttemptOutcome.Answered) {
-            stats.delivered++;
+            stats.delivered.increment();
             requests.remove(request.id());
             actions.add(new RoutingAction.Deliver(request.id(), request.attempt));
         } else if (outcome instanceof AttemptOutcome.Busy) {
@@ -245,11 +251,15 @@
         }
     }
 
+    /** A forwarded request is repeated by the VM that has the caller, or the attempts of both would multiply. */
     private void retryBroken(ServiceState service, Request request, Failure cause) {
         boolean safe = request.arrival.idempotent() || !limits.has(Safeguard.SAFE_RETRY);
         if (request.callerGone) {
             abandon(request);
-        } else if (safe && nowMs < request.deadlineAtMs() && mayRetry(service, request)) {
+        } else if (safe
+                && request.arrival.hops() == 0
+                && nowMs < request.deadlineAtMs()
+                && mayRetry(service, request)) {
             requeue(service, request);
         } else if (nowMs >= request.deadlineAtMs()) {
             refuse(request, Refusals.deadlineWhileRunning(cause.peer()));
@@ -271,9 +281,9 @@
             expireQueued(service, request);
             return;
         }
-        stats.retries++;
+        stats.retries.increment();
         request.phase = Phase.QUEUED;
-        service.queue.addFirst(request);
+        service.queue.addFirst(request, nowMs);
     }
 
     private void callerGone(long requestId) {
@@ -305,7 +315,7 @@
             switch (probe.result()) {
                 case LIVE -> executor.sawLiveProbe(probe.sentAtMs());
                 case LEAVING -> observer.probedLeaving(executor, probe.sentAtMs(), nowMs);
-                case MISSED -> stats.missedProbes++;
+                case MISSED -> stats.missedProbes.increment();
             }
             dispatch(service);
         }
@@ -315,23 +325,12 @@
         expire();
         for (ServiceState service : services.all()) {
             for (EndpointState executor : service.executors()) {
-                probe(executor);
+                executor.nextProbe(nowMs, limits.routing().probeMs()).ifPresent(actions::add);
             }
             dispatch(service);
         }
     }
 
-    private void probe(EndpointState executor) {
-        if (executor.probing || !executor.listed || executor.assignedSlots == 0 || nowMs < executor.nextProbeAtMs) {
-            return;
-        }
-        long probeMs = Math.min(limits.routing().probeMs(), EndpointState.MAX_PROBE_INTERVAL_MS);
-        executor.probing = true;
-        executor.nextProbeAtMs = nowMs + probeMs;
-        Endpoint to = executor.endpoint;
-        actions.add(new RoutingAction.Probe(to.id(), to.host(), to.port(), nowMs, nowMs + probeMs));
-    }
-
     private void expire() {
         while (!deadlines.isEmpty() && deadlines.peek().deadlineAtMs() <= nowMs) {
             Request request = deadlines.remove();
@@ -378,7 +377,7 @@
     }
 
     private void abandon(Request request) {
-        stats.abandoned++;
+        stats.abandoned.increment();
         requests.remove(request.id());
         actions.add(new RoutingAction.Abandon(request.id(), !isNotRun(request)));
     }
--- a/library/src/main/java/io/radishspindle/routing/Safeguard.java
+++ b/library/src/main/java/io/radishspindle/routing/Safeguard.java
@@ -1,8 +1,8 @@
 package io.radishspindle.routing;
 
 /**
- * Mechanisms of {@link RoutingCore} that a test or a benchmark can turn off to show what each one prevents. A VM always
- * runs with all of them.
+ * Mechanisms of {@link RoutingCore} that a test or a benchmark can turn off to show what each one prevents. A VM
+ * always runs with all of them.
  */
 public enum Safeguard {
     /** Splits the slots among the entry VMs; off, each VM uses all slots of each executor. */
@@ -19,6 +19,8 @@
     DRAIN_WAIT,
     /** Weights between classes; off, one queue. */
     CLASS_WEIGHTS,
+    /** Keeps some slots free of bulk requests while higher classes are active. */
+    RESERVED_SLOTS,
     /** Deficit round robin between callers; off, first-come first-served. */
     CALLER_FAIRNESS,
     /** Limits retries to a share of the requests. */
--- a/library/src/main/java/io/radishspindle/routing/ServiceState.java
+++ b/library/src/main/java/io/radishspindle/routing/ServiceState.java
@@ -21,20 +21,22 @@
     final RetryBudget retryBudget;
     final OutlierDetector outliers;
     final PeerTable peers;
+    final SlotReserve reserve;
     private final RoutingLimits limits;
     private final UniformRandomProvider random;
     private final Map<String, EndpointState> executors = new TreeMap<>();
     private boolean known;
     private long usableAtMs = Long.MIN_VALUE;
 
-    ServiceState(String name, RoutingLimits limits, UniformRandomProvider random) {
+    ServiceState(String name, RoutingLimits limits, UniformRandomProvider random, RoutingStats stats) {
         this.name = name;
         this.limits = limits;
         this.random = random;
         queue = new RequestQueue(costs, limits);
         retryBudget = new RetryBudget(limits);
-        outliers = new OutlierDetector(executors.values(), limits);
+        outliers = new OutlierDetector(executors.values(), limits, stats);
         peers = new PeerTable(limits, random);
+        reserve = new SlotReserve(limits);
     }
 
     /** Takes over a view; {@code endpoints} are those of this service in all data centres. */
@@ -100,9 +102,12 @@
         return new ServiceLoad(name, free, queue.size());
     }
 
-    /** The executor with the lowest share of used slots, one that the request has not tried if possible. */
+    /** The usable executor with the lowest share of used slots, one that the request has not tried if possible. */
     @Nullable
     EndpointState pick(Request request, long nowMs) {
+        if (reserve.holdsBack(request, queue, load(nowMs).freeSlots(), capacity(nowMs), nowMs)) {
+            return null;
+        }
         List<EndpointState> best = new ArrayList<>();
         double bestScore = Double.POSITIVE_INFINITY;
         for (EndpointState executor : executors.values()) {
@@ -143,7 +148,19 @@
         if (slots == 0 || (queue.size() == 0 && load(nowMs).freeSlots() > 0)) {
             return 0;
         }
-        return (queue.servedBefore(requestClass, caller) + 1) * costs.meanMs() / slots;
+        double bySlotsMs = (queue.servedBefore(requestClass, caller) + 1) * costs.meanMs() / slots;
+        return Math.max(bySlotsMs, queue.waitByPaceMs(requestClass, caller));
+    }
+
+    /** True if a request that has waited is unlikely to be answered in time, so that its slot would be wasted. */
+    boolean isTooLate(Request request, long nowMs) {
+        boolean waited = nowMs > request.arrival.acceptedAtMs() + RoutingLimits.TICK_MS;
+        return waited && nowMs + leastRunMs(request.caller()) > request.deadlineAtMs();
+    }
+
+    /** Time that a caller's request will at least run; half of the usual, since run times differ. */
+    double leastRunMs(String caller) {
+        return costs.expectedMs(caller) / 2;
     }
 
     /** Time in which the slots of this VM serve so many requests, in milliseconds. */
