--- a/library/src/test/java/io/radishspindle/routing/HostileExecutorsTest.java
+++ b/library/src/test/java/io/radishspindle/routing/HostileExecutorsTest.java
@@ -107,7 +107,7 @@
     void should_send_nothing_more_to_executor_that_answers_leaving() {
         AtomicInteger received = new AtomicInteger();
         try (RoutingFixture fixture = new RoutingFixture()
-                .executor(8, request -> {
+                .executor(8, () -> received.get() > 0, request -> {
                     received.incrementAndGet();
                     request.response().putHeader("Leaving", "true").end("last");
                 })
--- a/library/src/test/java/io/radishspindle/routing/RoutingFixture.java
+++ b/library/src/test/java/io/radishspindle/routing/RoutingFixture.java
@@ -79,10 +79,17 @@
 
     /** Adds an executor that speaks HTTP; probes are answered for it. */
     RoutingFixture executor(int slots, Handler<HttpServerRequest> handler) {
+        return executor(slots, () -> false, handler);
+    }
+
+    /** Adds an executor whose probes find it leaving once {@code leaving} says so. */
+    RoutingFixture executor(int slots, BooleanSupplier leaving, Handler<HttpServerRequest> handler) {
         HttpServer server = await(vertx.createHttpServer()
                 .requestHandler(request -> {
                     if (request.path().equals("/health")) {
-                        request.response().end();
+                        request.response()
+                                .putHeader("Leaving", Boolean.toString(leaving.getAsBoolean()))
+                                .end();
                     } else {
                         handler.handle(request);
                     }
