Demonstration kills a group owner, finds jobs that were never accepted

The demonstration and the tests killed the first entry VM, which may own no group. They now read the owner from the store. The checker also finds jobs that ran although no submission was accepted. Waiting times are counted from the submission that was accepted; the former figures mixed in the pauses between repeated submissions. Files of a run that held all guarantees are deleted.

--- a/demo-runner/src/main/java/io/radishspindle/demo/Cluster.java
+++ b/demo-runner/src/main/java/io/radishspindle/demo/Cluster.java
@@ -4,16 +4,19 @@
 import io.radishspindle.platform.VmList.Kind;
 import io.radishspindle.platform.VmList.State;
 import io.radishspindle.platform.VmList.Vm;
+import java.io.File;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Stream;
 
 /**
  * A whole system of processes on loopback: platform stand-ins and entry daemons. Thread-safe.
@@ -38,11 +41,21 @@
     private final Map<String, String> processOfWorker = new HashMap<>();
     private final int storePort;
     private final int vmListPort;
+    private volatile boolean deleteDirectory;
 
-    /** Starts all processes of the plan; does not wait until they are ready. */
+    /** Starts all processes of the plan, with their files under the system's temporary directory. */
     public Cluster(ClusterPlan plan, Programs programs, int firstPort) {
+        this(plan, programs, firstPort, Path.of(System.getProperty("java.io.tmpdir")));
+    }
+
+    /**
+     * Starts all processes of the plan; does not wait until they are ready.
+     *
+     * @param parent where the directory for settings, logs and histories is made
+     */
+    public Cluster(ClusterPlan plan, Programs programs, int firstPort, Path parent) {
         this.programs = programs;
-        this.directory = temporaryDirectory();
+        this.directory = newDirectory(parent);
         this.ports = new Ports(firstPort);
         this.children = new Children(directory);
         Runtime.getRuntime().addShutdownHook(new Thread(children::close));
@@ -107,6 +120,11 @@
         startEntryVm(vm);
     }
 
+    /** Logs and histories are of no further use. */
+    void deleteDirectoryAtClose() {
+        deleteDirectory = true;
+    }
+
     Path workerHistories() {
         return directory.resolve("workers");
     }
@@ -118,6 +136,9 @@
     @Override
     public void close() {
         children.close();
+        if (deleteDirectory) {
+            deleteTree(directory);
+        }
     }
 
     private void startDataCentre(ClusterPlan.DataCentre dc) {
@@ -217,9 +238,17 @@
         return count == 1 ? name : name + "-" + (index + 1);
     }
 
-    private static Path temporaryDirectory() {
+    private static Path newDirectory(Path parent) {
         try {
-            return Files.createTempDirectory("radishspindle-demo");
+            return Files.createTempDirectory(Files.createDirectories(parent), "radishspindle-");
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static void deleteTree(Path directory) {
+        try (Stream<Path> paths = Files.walk(directory)) {
+            paths.sorted(Comparator.reverseOrder()).map(Path::toFile).forEach(File::delete);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- a/demo-runner/src/main/java/io/radishspindle/demo/Demo.java
+++ b/demo-runner/src/main/java/io/radishspindle/demo/Demo.java
@@ -1,8 +1,10 @@
 package io.radishspindle.demo;
 
+import io.radishspindle.platform.VmList.Vm;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
@@ -85,7 +87,11 @@
             if (options.getBoolean("keep")) {
                 keep(cluster);
             }
-            return new Demo(cluster, options).runLoad();
+            boolean held = new Demo(cluster, options).runLoad();
+            if (held) {
+                cluster.deleteDirectoryAtClose();
+            }
+            return held;
         }
     }
 
@@ -149,15 +155,19 @@
                 .toList();
     }
 
-    /** Kills a worker while tasks run on it, and the first entry VM of the same data centre. */
+    /** Kills a worker while tasks run on it, and the entry VM that owns a group of the same data centre. */
     private void killSome() {
-        String worker = cluster.platformVms().get(0).id();
+        Vm worker = cluster.platformVms().get(0);
         long sinceMs = System.currentTimeMillis();
-        Wait.until(KILL_LIMIT_MS, () -> WorkerHistories.of(cluster).attemptsOn(worker, sinceMs) > 0);
-        EntryVm vm = cluster.entryVms().get(0);
-        System.out.println("killing entry VM " + vm.id() + " and worker " + worker);
-        cluster.children().kill(vm.id());
-        cluster.killWorker(worker);
+        Wait.until(KILL_LIMIT_MS, () -> WorkerHistories.of(cluster).attemptsOn(worker.id(), sinceMs) > 0);
+        String owner = GroupOwners.read(new Http(), cluster).entrySet().stream()
+                .filter(group -> group.getKey().startsWith(worker.dataCentre() + "/"))
+                .map(Map.Entry::getValue)
+                .findFirst()
+                .orElseThrow(() -> new IllegalStateException("no group of " + worker.dataCentre() + " has an owner"));
+        System.out.println("killing entry VM " + owner + ", which owns a group, and worker " + worker.id());
+        cluster.children().kill(owner);
+        cluster.killWorker(worker.id());
     }
 
     private Set<JobDriver.Accepted> awaitJobs() {
--- a/demo-runner/src/main/java/io/radishspindle/demo/JobDriver.java
+++ b/demo-runner/src/main/java/io/radishspindle/demo/JobDriver.java
@@ -10,6 +10,8 @@
 import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.tinylog.Logger;
 
 /**
@@ -20,9 +22,18 @@
 final class JobDriver {
     private static final long SUBMIT_LIMIT_MS = 30_000;
     private static final long RETRY_MS = 200;
+    private static final int CONFLICT = 409;
 
-    /** An accepted job; {@code submittedAtMs} is the wall-clock time of its first submission. */
-    record Accepted(Job job, String jobId, long submittedAtMs) {}
+    /** How a conflict of a keyed submission names the job; the last part of a job id derived from a key is a UUID. */
+    private static final Pattern SUFFIX = Pattern.compile("ends with ([0-9a-f-]{36})");
+
+    /**
+     * An accepted job.
+     *
+     * @param firstTriedAtMs wall-clock time of its first submission
+     * @param submittedAtMs wall-clock time of the submission that was accepted
+     */
+    record Accepted(Job job, String jobId, long firstTriedAtMs, long submittedAtMs) {}
 
     private final Http http = new Http();
     private final List<EntryVm> vms;
@@ -30,6 +41,7 @@
     private final Map<String, Accepted> accepted = new ConcurrentHashMap<>();
     private final Map<String, Http.Result> rejected = new ConcurrentHashMap<>();
     private final AtomicInteger refusedNotRun = new AtomicInteger();
+    private final AtomicInteger undecided = new AtomicInteger();
 
     JobDriver(List<EntryVm> vms, long seed) {
         this.vms = vms;
@@ -38,23 +50,30 @@
 
     /** Submits a job and waits until it is accepted or rejected for good. */
     void submit(Job job) {
-        long submittedAtMs = System.currentTimeMillis();
-        boolean decided = Wait.until(SUBMIT_LIMIT_MS, () -> trySubmit(job, submittedAtMs));
+        long firstTriedAtMs = System.currentTimeMillis();
+        boolean decided = Wait.until(SUBMIT_LIMIT_MS, () -> trySubmit(job, firstTriedAtMs));
         if (!decided) {
             Logger.warn("event=submit-gave-up job={}", job.key());
         }
     }
 
-    private boolean trySubmit(Job job, long submittedAtMs) {
+    private boolean trySubmit(Job job, long firstTriedAtMs) {
+        long submittedAtMs = System.currentTimeMillis();
         Map<String, String> headers =
                 Map.of("Content-Type", "application/json", "Caller", "demo", "Idempotency-Key", job.key());
         Http.Result result = http.call(
                 "POST", anyVm().callersUrl() + "/jobs", headers, job.body().encode());
         if (result.isSuccess()) {
             String jobId = result.json().getString("jobId");
-            accepted.put(job.key(), new Accepted(job, jobId, submittedAtMs));
+            accepted.put(job.key(), new Accepted(job, jobId, firstTriedAtMs, submittedAtMs));
             return true;
         }
+        if (result.status() == CONFLICT) {
+            undecided.incrementAndGet();
+            Logger.info("event=job-undecided job={} body={}", job.key(), result.body());
+            Wait.pause(RETRY_MS);
+            return findAccepted(job, firstTriedAtMs, submittedAtMs, result.body());
+        }
         if (result.status() >= 400 && result.status() < 500 && result.status() != 429) {
             rejected.put(job.key(), result);
             Logger.info("event=job-rejected job={} status={} body={}", job.key(), result.status(), result.body());
@@ -67,6 +86,24 @@
         return false;
     }
 
+    /**
+     * Looks for the job of a key that was submitted before; its id ends with the suffix that the answer names. If none
+     * is found, the submission is repeated, which the key makes safe.
+     */
+    private boolean findAccepted(Job job, long firstTriedAtMs, long submittedAtMs, String answer) {
+        Matcher suffix = SUFFIX.matcher(answer);
+        if (!suffix.find()) {
+            return false;
+        }
+        Matcher id = Pattern.compile("\"jobId\":\"([^\"]*" + suffix.group(1) + ")\"")
+                .matcher(http.get(anyVm().callersUrl() + "/jobs").body());
+        boolean found = id.find();
+        if (found) {
+            accepted.put(job.key(), new Accepted(job, id.group(1), firstTriedAtMs, submittedAtMs));
+        }
+        return found;
+    }
+
     /** State of a job as any entry VM tells it; empty if none knows it at the moment. */
     Optional<JsonObject> status(Accepted job) {
         Http.Result result = http.get(anyVm().callersUrl() + "/jobs/" + job.jobId());
@@ -110,6 +147,11 @@
         return rejected.containsKey(job.key());
     }
 
+    /** How often a repeated submission was told that an earlier one is not decided yet or was accepted. */
+    int undecided() {
+        return undecided.get();
+    }
+
     int refusedNotRun() {
         return refusedNotRun.get();
     }
--- a/demo-runner/src/main/java/io/radishspindle/demo/Outcome.java
+++ b/demo-runner/src/main/java/io/radishspindle/demo/Outcome.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.stream.IntStream;
 import org.HdrHistogram.Histogram;
 
@@ -22,13 +23,20 @@
     private static final int SIGNIFICANT_DIGITS = 3;
 
     final List<String> problems = new ArrayList<>();
+
+    /** From the submission that was accepted until the first start. */
     final Map<JobClass, Histogram> waitingMs = new EnumMap<>(JobClass.class);
+
+    /** From the first submission until the first start; includes repeated submissions. */
+    final Map<JobClass, Histogram> totalMs = new EnumMap<>(JobClass.class);
+
     int jobsLost;
     int jobsFinished;
     int requestsLost;
     int ranThoughRefused;
     List<String> inTwoPlaces = List.of();
     List<String> overfull = List.of();
+    Set<String> unknownJobs = Set.of();
     List<String> ranTwice = List.of();
 
     /** Checks the jobs; {@code done} are those that reached what was expected of them. */
@@ -47,6 +55,9 @@
             add(refused != (job.expected() == Expected.REFUSED), "job " + job.key() + " rejected: " + refused);
         }
         add(driver.accepted().size() + 1 != submitted.size(), "not every submission was decided");
+        unknownJobs = new TreeSet<>(workers.jobIds());
+        driver.accepted().forEach(job -> unknownJobs.remove(job.jobId()));
+        unknownJobs.forEach(id -> add(true, "job " + id + " ran although its caller was never told its id"));
         inTwoPlaces.forEach(text -> add(true, "task in two places: " + text));
         overfull.forEach(text -> add(true, "overfull worker: " + text));
     }
@@ -79,10 +90,14 @@
     }
 
     private void addWaiting(Accepted job, WorkerHistories workers) {
-        Histogram histogram = waitingMs.computeIfAbsent(job.job().jobClass(), c -> new Histogram(SIGNIFICANT_DIGITS));
+        JobClass jobClass = job.job().jobClass();
+        Histogram waiting = waitingMs.computeIfAbsent(jobClass, c -> new Histogram(SIGNIFICANT_DIGITS));
+        Histogram total = totalMs.computeIfAbsent(jobClass, c -> new Histogram(SIGNIFICANT_DIGITS));
         for (int i = 0; i < job.job().tasks(); i++) {
-            workers.firstStartMs(new TaskId(job.jobId(), i))
-                    .ifPresent(atMs -> histogram.recordValue(Math.max(0, atMs - job.submittedAtMs())));
+            workers.firstStartMs(new TaskId(job.jobId(), i)).ifPresent(atMs -> {
+                waiting.recordValue(Math.max(0, atMs - job.submittedAtMs()));
+                total.recordValue(Math.max(0, atMs - job.firstTriedAtMs()));
+            });
         }
     }
 
--- a/demo-runner/src/main/java/io/radishspindle/demo/WorkerHistories.java
+++ b/demo-runner/src/main/java/io/radishspindle/demo/WorkerHistories.java
@@ -12,7 +12,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -109,6 +111,11 @@
         return (int) segments.stream().map(Segment::attempt).distinct().count();
     }
 
+    /** Ids of all jobs of which an attempt was started. */
+    public Set<String> jobIds() {
+        return segments.stream().map(s -> s.attempt().task().jobId()).collect(Collectors.toSet());
+    }
+
     /** Times during which attempts of a job ran. */
     List<Segment> segmentsOf(String jobId) {
         return segments.stream()
--- a/demo-runner/src/test/java/io/radishspindle/demo/ProcessFailureTest.java
+++ b/demo-runner/src/test/java/io/radishspindle/demo/ProcessFailureTest.java
@@ -40,7 +40,7 @@
         running.submitService("service-a");
         running.submitBatch("before", 10, 3_000);
         // when
-        running.cluster.children().kill(running.vm(0).id());
+        running.cluster.children().kill(running.ownerOfAGroup());
         running.submitBatch("after", 5, 500);
         // then
         running.awaitAllDoneWithoutViolation(16);
@@ -51,7 +51,7 @@
     void should_run_no_task_in_two_places_when_an_entry_vm_is_paused_past_its_leases() {
         // given
         running.submitBatch("before", 10, 4_000);
-        String paused = running.vm(0).id();
+        String paused = running.ownerOfAGroup();
         long resumeAtMs = System.currentTimeMillis() + LONGER_THAN_LEASES_MS;
         // when
         running.signal(paused, "STOP");
--- a/demo-runner/src/test/java/io/radishspindle/demo/RunningCluster.java
+++ b/demo-runner/src/test/java/io/radishspindle/demo/RunningCluster.java
@@ -26,7 +26,8 @@
 
     RunningCluster() {
         Path root = Path.of("").toAbsolutePath().getParent();
-        cluster = new Cluster(ClusterPlan.small(), Programs.under(root), FIRST_PORT);
+        cluster =
+                new Cluster(ClusterPlan.small(), Programs.under(root), FIRST_PORT, Path.of("target", "process-tests"));
         jobs = new JobDriver(cluster.entryVms(), SEED);
         cluster.entryVms().forEach(this::awaitReady);
     }
@@ -87,6 +88,12 @@
         assertThat(result.status()).isEqualTo(200);
     }
 
+    /** An entry VM that owns a group. */
+    String ownerOfAGroup() {
+        await("every group has an owner", () -> GroupOwners.read(http, cluster).size() == 2);
+        return GroupOwners.read(http, cluster).values().iterator().next();
+    }
+
     EntryVm vm(int index) {
         return cluster.entryVms().get(index);
     }
