Put service limits and drained workers of the configuration into force

Cause: retry-budget, max-queued-per-service, max-queued-per-caller and accept-work could be set and were accepted, but nothing read them.

Change: the routing core takes the limits as an event; a drained worker counts as leaving, and returns by a new claim when its exception ends. Ruled out: a separate event for returning workers, since a claim already replaces all that is known of a worker.

--- a/library/src/main/java/io/radishspindle/entry/EntryVm.java
+++ b/library/src/main/java/io/radishspindle/entry/EntryVm.java
@@ -19,6 +19,7 @@
 import io.radishspindle.platform.http.HttpWorkerClient;
 import io.radishspindle.protocol.TcpPeerMessenger;
 import io.radishspindle.routing.RequestService;
+import io.radishspindle.routing.ServiceLimitsTable;
 import io.radishspindle.settings.EntrySettings;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -27,6 +28,7 @@
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.ext.web.Router;
 import java.util.UUID;
+import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
 
 /**
@@ -57,6 +59,7 @@
     private final HttpServer callersServer;
     private final HttpServer operatorsServer;
     private PlacementPolicy policyInForce = PlacementPolicy.DEFAULT;
+    private @Nullable ServiceLimitsTable limitsInForce;
     private long policyTimer;
     private boolean stopping;
 
@@ -159,18 +162,27 @@
 
     /** Applies the policy in force now; exceptions end at their deadline without a change of the configuration. */
     private void applyPolicy() {
-        config.current()
-                .map(fleet -> fleet.policyAt(clock.wallMs(), settings.vm().dataCentre()))
-                .filter(policy -> !policy.equals(policyInForce))
-                .ifPresent(policy -> {
-                    policyInForce = policy;
-                    groups.update(policy);
-                });
+        config.current().ifPresent(fleet -> {
+            long wallMs = clock.wallMs();
+            PlacementPolicy policy = fleet.policyAt(wallMs, settings.vm().dataCentre());
+            if (!policy.equals(policyInForce)) {
+                policyInForce = policy;
+                groups.update(policy);
+            }
+            ServiceLimitsTable limits = FleetPolicies.serviceLimits(fleet, wallMs);
+            if (!limits.equals(limitsInForce)) {
+                limitsInForce = limits;
+                requests.update(limits);
+            }
+            groups.update(FleetPolicies.withDrainedWorkers(membership.view(), fleet, wallMs));
+        });
     }
 
     private void update(MembershipView view) {
         config.update(view);
-        groups.update(view);
+        groups.update(config.current()
+                .map(fleet -> FleetPolicies.withDrainedWorkers(view, fleet, clock.wallMs()))
+                .orElse(view));
         requests.update(view);
     }
 
@@ -188,6 +200,7 @@
         router.get("/health").handler(context -> context.response().end("ok\n"));
         router.get("/ready").handler(context -> sendReadiness(context.response()));
         jobApi.addOperatorRoutes(router);
+        new OperatorApi(clock, config, membership::view, metrics).addRoutes(router);
         return router;
     }
 
--- a/library/src/main/java/io/radishspindle/ownership/Owner.java
+++ b/library/src/main/java/io/radishspindle/ownership/Owner.java
@@ -54,6 +54,7 @@
     private final Set<String> unreachable = new HashSet<>();
     private final Set<String> lost = new HashSet<>();
     private final Set<String> leaving = new HashSet<>();
+    private final Set<String> leavingByView = new HashSet<>();
     private final ClaimReplies firstReplies = new ClaimReplies();
     private final Journal journal;
     private final JobDesk desk;
@@ -143,13 +144,22 @@
         quorums = List.of(record.workerIds());
     }
 
-    /** Workers that leave by the VM list. */
+    /** Workers that leave by the VM list or are drained by the configuration; those that are no longer named return. */
     void noteLeaving(Set<String> workerIds) {
+        if (!serving) {
+            return;
+        }
         for (String id : workerIds) {
-            if (serving && links.containsKey(id) && leaving.add(id)) {
+            if (links.containsKey(id) && leavingByView.add(id) && leaving.add(id)) {
                 desk.feed(new PlacementEvent.WorkerLeaving(id));
             }
         }
+        Set<String> returned = new HashSet<>(leavingByView);
+        returned.removeAll(workerIds);
+        leavingByView.retainAll(workerIds);
+        links.values().stream()
+                .filter(link -> returned.contains(link.worker.id()))
+                .forEach(WorkerLink::claimAgain);
     }
 
     void tick() {
@@ -290,6 +300,7 @@
         unreachable.remove(link.worker.id());
         lost.remove(link.worker.id());
         leaving.remove(link.worker.id());
+        leavingByView.remove(link.worker.id());
         if (!serving) {
             firstReplies.put(link.worker.id(), reply);
             noteMajority();
--- a/library/src/main/java/io/radishspindle/ownership/WorkerLink.java
+++ b/library/src/main/java/io/radishspindle/ownership/WorkerLink.java
@@ -166,6 +166,13 @@
         return state == State.UNCLAIMED && !inFlight && fx.now() >= nextSendAtMs;
     }
 
+    /** Asks the worker again for all that runs there; until it has answered it takes no commands. */
+    void claimAgain() {
+        if (state == State.READY) {
+            state = State.PROBE;
+        }
+    }
+
     private void reclaim() {
         long until = probedSentAtMs + timing.heartbeatMs();
         if (fx.now() > until) {
--- a/library/src/main/java/io/radishspindle/routing/Admission.java
+++ b/library/src/main/java/io/radishspindle/routing/Admission.java
@@ -1,6 +1,7 @@
 package io.radishspindle.routing;
 
 import io.radishspindle.error.Failure;
+import java.util.Map;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.jspecify.annotations.Nullable;
 
@@ -21,10 +22,20 @@
 
     private final RoutingLimits limits;
     private final UniformRandomProvider random;
+    private ServiceLimitsTable serviceLimits;
 
     Admission(RoutingLimits limits, UniformRandomProvider random) {
         this.limits = limits;
         this.random = random;
+        this.serviceLimits = new ServiceLimitsTable(ServiceLimits.of(limits.routing()), Map.of());
+    }
+
+    void update(ServiceLimitsTable table) {
+        serviceLimits = table;
+    }
+
+    ServiceLimits limitsOf(ServiceState service) {
+        return serviceLimits.of(service.name);
     }
 
     Decision decide(ServiceState service, RoutingEvent.RequestArrived arrival, long nowMs) {
@@ -45,12 +56,12 @@
     }
 
     private Decision checkBounds(ServiceState service, RoutingEvent.RequestArrived arrival, long nowMs) {
-        int perCaller = limits.routing().maxQueuedPerCaller();
+        int perCaller = serviceLimits.of(service.name).maxQueuedPerCaller();
         if (service.queue.queuedOf(arrival.caller()) >= perCaller) {
             long retryMs = retryAfterMs(service, arrival.requestClass(), nowMs);
             return new Decision(Refusals.queueFull("caller " + arrival.caller(), perCaller, retryMs), null);
         }
-        int perService = limits.routing().maxQueuedPerService();
+        int perService = serviceLimits.of(service.name).maxQueuedPerService();
         if (service.queue.size() < perService) {
             return JOIN;
         }
--- a/library/src/main/java/io/radishspindle/routing/RequestService.java
+++ b/library/src/main/java/io/radishspindle/routing/RequestService.java
@@ -90,6 +90,11 @@
         context.runOnContext(v -> runtime.update(view));
     }
 
+    /** Takes over limits from the fleet configuration. */
+    public void update(ServiceLimitsTable limits) {
+        context.runOnContext(v -> runtime.update(limits));
+    }
+
     /** Load of each service at this VM, at most one tick old. */
     public List<ServiceLoad> loads() {
         return runtime.loads();
--- a/library/src/main/java/io/radishspindle/routing/RetryBudget.java
+++ b/library/src/main/java/io/radishspindle/routing/RetryBudget.java
@@ -5,16 +5,15 @@
     /** Retries that are possible before any request has paid for them; also the most that can be saved up. */
     private static final double RESERVE = 10;
 
-    private final double share;
     private final boolean limited;
     private double tokens = RESERVE;
 
     RetryBudget(RoutingLimits limits) {
-        share = limits.routing().retryBudget();
         limited = limits.has(Safeguard.RETRY_BUDGET);
     }
 
-    void requestArrived() {
+    /** @param share retries as a share of the requests */
+    void requestArrived(double share) {
         tokens = Math.min(RESERVE, tokens + share);
     }
 
--- a/library/src/main/java/io/radishspindle/routing/RoutingCore.java
+++ b/library/src/main/java/io/radishspindle/routing/RoutingCore.java
@@ -63,6 +63,8 @@
             viewChanged(changed.view());
         } else if (event instanceof RoutingEvent.ProbeCompleted probe) {
             probed(probe);
+        } else if (event instanceof RoutingEvent.LimitsChanged changed) {
+            admission.update(changed.limits());
         } else if (event instanceof RoutingEvent.Tick) {
             tick();
         } else if (event instanceof RoutingEvent.DrainStarted) {
@@ -107,7 +109,7 @@
             return;
         }
         ServiceState service = services.get(arrival.service());
-        service.retryBudget.requestArrived();
+        service.retryBudget.requestArrived(admission.limitsOf(service).retryBudget());
         service.reserve.arrived(arrival.requestClass(), nowMs);
         service.queue.add(request, nowMs);
         deadlines.add(request);
--- a/library/src/main/java/io/radishspindle/routing/RoutingEvent.java
+++ b/library/src/main/java/io/radishspindle/routing/RoutingEvent.java
@@ -42,6 +42,9 @@
     /** The end of a probe; exactly one per {@code Probe}. */
     record ProbeCompleted(String endpointId, long sentAtMs, ProbeResult result) implements RoutingEvent {}
 
+    /** The fleet configuration changed the limits of services. */
+    record LimitsChanged(ServiceLimitsTable limits) implements RoutingEvent {}
+
     /** Time has passed; sent every {@link RoutingLimits#TICK_MS}. */
     record Tick() implements RoutingEvent {}
 
--- a/library/src/main/java/io/radishspindle/routing/RoutingRuntime.java
+++ b/library/src/main/java/io/radishspindle/routing/RoutingRuntime.java
@@ -112,6 +112,10 @@
         publish();
     }
 
+    void update(ServiceLimitsTable limits) {
+        feed(new RoutingEvent.LimitsChanged(limits));
+    }
+
     /** Why the request would be refused now; saves the record of its key. */
     Optional<Failure> wouldRefuse(RequestArrived arrival) {
         return core.wouldRefuse(clock.nowMs(), arrival);
