--- a/library/src/main/java/io/radishspindle/routing/RoutingRuntime.java
+++ b/library/src/main/java/io/radishspindle/routing/RoutingRuntime.java
@@ -22,7 +22,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
+import org.tinylog.Logger;
 
 /**
  * Feeds a {@link RoutingCore} and carries out its actions. All methods but {@link #loads} and {@link
@@ -60,6 +62,8 @@
     private volatile List<ServiceLoad> loads = List.of();
     private volatile List<String> leavingEndpoints = List.of();
     private boolean draining;
+    private boolean closed;
+    private long ejections;
     private long timer = -1;
 
     RoutingRuntime(
@@ -80,13 +84,29 @@
     }
 
     void start() {
-        timer = vertx.setPeriodic(RoutingLimits.TICK_MS, id -> context.runOnContext(v -> tick()));
+        registerMetrics();
+        scheduleTick();
     }
 
     void close() {
+        closed = true;
         vertx.cancelTimer(timer);
     }
 
+    private void scheduleTick() {
+        if (closed) {
+            return;
+        }
+        vertx.cancelTimer(timer);
+        long delayMs = pending.isEmpty() ? RoutingLimits.IDLE_TICK_MS : RoutingLimits.TICK_MS;
+        timer = vertx.setTimer(
+                delayMs,
+                id -> context.runOnContext(v -> {
+                    tick();
+                    scheduleTick();
+                }));
+    }
+
     void update(MembershipView view) {
         feed(new RoutingEvent.ViewChanged(view));
         publish();
@@ -99,7 +119,11 @@
 
     void submit(RequestArrived arrival, ServiceRequest request, Responder responder) {
         metrics.meter("routing.requests").mark();
+        boolean wasIdle = pending.isEmpty();
         pending.put(arrival.requestId(), new Pending(arrival, request, responder));
+        if (wasIdle) {
+            scheduleTick();
+        }
         feed(arrival);
     }
 
@@ -131,7 +155,31 @@
 
     private void publish() {
         loads = core.loads(clock.nowMs());
-        leavingEndpoints = core.leavingEndpoints();
+        List<String> leaving = core.leavingEndpoints();
+        if (!leaving.equals(leavingEndpoints)) {
+            Logger.info("event=endpoints_leaving endpoints={}", leaving);
+        }
+        leavingEndpoints = leaving;
+        long total = core.stats().ejections();
+        if (total != ejections) {
+            Logger.warn("event=executors_ejected total={}", total);
+        }
+        ejections = total;
+    }
+
+    private void registerMetrics() {
+        RoutingStats stats = core.stats();
+        Map<String, LongSupplier> gauges = Map.of(
+                "sent", stats::sent,
+                "forwarded", stats::forwarded,
+                "delivered", stats::delivered,
+                "retries", stats::retries,
+                "busy", stats::busy,
+                "unreachable", stats::unreachable,
+                "abandoned", stats::abandoned,
+                "missed_probes", stats::missedProbes,
+                "ejections", stats::ejections);
+        gauges.forEach((name, value) -> metrics.gauge("routing." + name, () -> value::getAsLong));
     }
 
     private void feed(RoutingEvent event) {
