--- a/benchmarks/src/main/java/io/radishspindle/bench/config/ConfigPropagation.java
+++ b/benchmarks/src/main/java/io/radishspindle/bench/config/ConfigPropagation.java
@@ -24,7 +24,8 @@
         StringBuilder report = new StringBuilder(String.format(
                 Locale.ROOT,
                 "seed %d, %d VMs, %d changes a day, document of %d bytes%n%n"
-                        + "| strategy | store calls/s | bytes/s across regions | in force everywhere: p50 | p99.9 | max |%n"
+                        + "| strategy | store calls/s | bytes/s across regions |"
+                        + " in force everywhere: p50 | p99.9 | max |%n"
                         + "| --- | --- | --- | --- | --- | --- |%n",
                 seed,
                 Fleet.TWO_YEARS.vms(),
