Send the revision of the configuration as the service counts it; publish its metrics

Cause: a VM without any configuration announced revision 0, which is also the revision of the built-in one; the service gives -1 for none.

Change: heartbeats use ConfigService.revision; its metrics go to the registry.

--- a/library/src/main/java/io/radishspindle/entry/EntryVm.java
+++ b/library/src/main/java/io/radishspindle/entry/EntryVm.java
@@ -2,7 +2,6 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.radishspindle.config.ConfigService;
-import io.radishspindle.config.FleetConfig;
 import io.radishspindle.entry.job.JobApi;
 import io.radishspindle.entry.job.JobRouter;
 import io.radishspindle.idempotency.StoreKeyedRequests;
@@ -147,8 +146,8 @@
         membership.setGroupSummaries(groups::summaries);
         membership.setServiceLoads(requests::loads);
         membership.setLeavingEndpoints(requests::leavingEndpoints);
-        membership.setConfigRevision(
-                () -> config.current().map(FleetConfig::revision).orElse(0L));
+        membership.setConfigRevision(config::revision);
+        config.setMetrics(metrics);
         membership.onChange(this::update);
         config.onChange(fleet -> applyPolicy());
     }
