--- a/library/src/main/java/io/radishspindle/ownership/GroupCore.java
+++ b/library/src/main/java/io/radishspindle/ownership/GroupCore.java
@@ -1,10 +1,7 @@
 package io.radishspindle.ownership;
 
-import io.radishspindle.error.ErrorCode;
-import io.radishspindle.error.Failure;
 import io.radishspindle.membership.GroupSummary;
 import io.radishspindle.membership.MembershipView;
-import io.radishspindle.membership.MembershipView.Liveness;
 import io.radishspindle.model.JobSpec;
 import io.radishspindle.model.Resources;
 import io.radishspindle.model.WorkerInfo;
@@ -16,7 +13,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeSet;
 import java.util.function.LongFunction;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
@@ -42,6 +38,7 @@
     private final String recordKey;
     private final LongFunction<GroupPlacement> placements;
     private final Joiners joiners;
+    private final TakeoverPolicy takeovers;
     private final List<Parked> parked = new ArrayList<>();
     private List<WorkerInfo> assigned = List.of();
     private PlacementPolicy policy = PlacementPolicy.DEFAULT;
@@ -57,10 +54,6 @@
     private long graceUntilMs = Quorum.NEVER;
     private long nextReadAtMs = Quorum.NEVER;
     private long nextChangeAtMs = Quorum.NEVER;
-    private long unreadySinceMs = Quorum.NEVER;
-    private long unreadyEpoch;
-    private long holdOffUntilMs = Quorum.NEVER;
-    private long holdOffMs;
     private long releaseByMs = Long.MAX_VALUE;
 
     GroupCore(
@@ -76,6 +69,7 @@
         this.recordKey = "group/" + group + "/owner";
         this.placements = placements;
         this.joiners = new Joiners(fx, timing);
+        this.takeovers = new TakeoverPolicy(fx, dataCentre, group);
     }
 
     String group() {
@@ -187,19 +181,11 @@
             changing = false;
             nextReadAtMs = Quorum.NEVER;
             if (end == Owner.End.SUPERSEDED) {
-                holdOff();
+                takeovers.holdOff();
             }
         }
     }
 
-    /** VMs that don't see each other would otherwise take a group from one another several times a second. */
-    private void holdOff() {
-        boolean repeated = fx.now() - holdOffUntilMs < OwnershipTiming.MAX_HOLD_OFF_MS;
-        holdOffMs =
-                repeated ? Math.min(2 * holdOffMs, OwnershipTiming.MAX_HOLD_OFF_MS) : OwnershipTiming.MIN_HOLD_OFF_MS;
-        holdOffUntilMs = fx.now() + holdOffMs;
-    }
-
     private void unpark() {
         if (parked.isEmpty()) {
             return;
@@ -221,10 +207,10 @@
 
     private void considerTakeover() {
         MembershipView now = view;
-        if (now == null || fx.now() < Math.max(graceUntilMs, holdOffUntilMs)) {
+        if (now == null || fx.now() < Math.max(graceUntilMs, takeovers.holdOffUntilMs())) {
             return;
         }
-        boolean eligible = isEligible(now);
+        boolean eligible = takeovers.isEligible(now, known);
         if (!eligible) {
             closeCaretaker();
         }
@@ -255,7 +241,7 @@
                 return;
             }
             MembershipView now = view;
-            boolean eligible = now != null && isEligible(now);
+            boolean eligible = now != null && takeovers.isEligible(now, known);
             if (result.isLeft()) {
                 if (eligible) {
                     becomeCaretaker();
@@ -264,63 +250,12 @@
             }
             known = Owner.decode(result.get());
             knownVersion = result.get().version();
-            if (now != null && eligible && mayReplace(now)) {
+            if (now != null && eligible && takeovers.mayReplace(now, known)) {
                 takeOver();
             }
         });
     }
 
-    /** Whether this VM is the one to take the group over, as far as the view tells. */
-    private boolean isEligible(MembershipView now) {
-        Set<String> candidates = new TreeSet<>();
-        now.liveEntryVms(dataCentre).forEach(vm -> candidates.add(vm.id()));
-        if (!candidates.contains(fx.self())) {
-            return false;
-        }
-        OwnershipRecord record = known;
-        if (record != null && record.ownerVm().equals(fx.self())) {
-            return true;
-        }
-        MembershipView.OwnedGroup announced = now.groupOwners().get(group);
-        if (announced != null
-                && candidates.contains(announced.ownerVm())
-                && !announced.ownerVm().equals(fx.self())) {
-            if (announced.summary().ready()) {
-                unreadySinceMs = Quorum.NEVER;
-                return false;
-            }
-            if (!unreadyForLong(announced.summary().epoch())) {
-                return false;
-            }
-            candidates.remove(announced.ownerVm());
-        }
-        return Rendezvous.winner(group, candidates).equals(Optional.of(fx.self()));
-    }
-
-    private boolean unreadyForLong(long epoch) {
-        if (unreadySinceMs == Quorum.NEVER || unreadyEpoch != epoch) {
-            unreadySinceMs = fx.now();
-            unreadyEpoch = epoch;
-        }
-        return fx.now() - unreadySinceMs > OwnershipTiming.UNREADY_TAKEOVER_MS;
-    }
-
-    /** Whether the owner by the record is gone, or has announced nothing for long. */
-    private boolean mayReplace(MembershipView now) {
-        OwnershipRecord record = known;
-        if (record == null || record.ownerVm().isEmpty() || record.ownerVm().equals(fx.self())) {
-            return true;
-        }
-        Optional<Liveness> liveness = now.entryVms().stream()
-                .filter(vm -> vm.id().equals(record.ownerVm()))
-                .map(MembershipView.EntryVm::liveness)
-                .findFirst();
-        if (liveness.equals(Optional.of(Liveness.LIVE)) || liveness.equals(Optional.of(Liveness.LEAVING))) {
-            return unreadyForLong(record.epoch());
-        }
-        return true;
-    }
-
     private void takeOver() {
         OwnershipRecord record = known;
         if (record == null && assigned.isEmpty()) {
@@ -339,7 +274,6 @@
         if (old != null) {
             old.close();
         }
-        unreadySinceMs = Quorum.NEVER;
         fx.metrics().takeover();
         Logger.info(
                 "event=group-taken group={} epoch={} workers={}",
@@ -383,12 +317,12 @@
         if (known != null && !known.previous().isEmpty()) {
             OwnershipRecord settled =
                     new OwnershipRecord(record.epoch(), record.ownerVm(), record.workers(), Set.of(), fx.newChangeId());
-            writeRecord(settled, (next, sentAt) -> current.requireOnlyOwn());
+            writeRecord(settled, (next, sentAt) -> current.workers().requireOnlyOwn());
             return;
         }
         Set<String> removed = current.longLost();
         List<WorkerInfo> added = joiners.answered(record, assigned);
-        boolean idle = current.isJournalIdle() && current.allReadyExcept(removed);
+        boolean idle = current.isJournalIdle() && current.workers().allReadyExcept(removed);
         if ((removed.isEmpty() && added.isEmpty()) || !idle) {
             return;
         }
@@ -398,7 +332,7 @@
         OwnershipRecord next =
                 new OwnershipRecord(record.epoch() + 1, fx.self(), workers, record.workerIds(), fx.newChangeId());
         changing = true;
-        current.requireAlso(new HashSet<>(next.workerIds()));
+        current.workers().requireAlso(new HashSet<>(next.workerIds()));
         writeRecord(next, this::become);
     }
 
@@ -457,15 +391,8 @@
         if (current != null) {
             current.close();
             owner = null;
-            holdOff();
+            takeovers.holdOff();
         }
         nextReadAtMs = Quorum.NEVER;
     }
-
-    Either<Failure, Owner> servingOrFailure(String step) {
-        return serving()
-                .<Either<Failure, Owner>>map(Either::right)
-                .orElseGet(() -> Either.left(
-                        Failure.rejected(ErrorCode.NOT_FOUND, step, "this VM does not own group " + group)));
-    }
 }
--- a/library/src/main/java/io/radishspindle/ownership/Owner.java
+++ b/library/src/main/java/io/radishspindle/ownership/Owner.java
@@ -6,7 +6,6 @@
 import io.radishspindle.model.Resources;
 import io.radishspindle.model.TaskAttempt;
 import io.radishspindle.model.TaskOutcome;
-import io.radishspindle.model.WorkerInfo;
 import io.radishspindle.placement.GroupPlacement;
 import io.radishspindle.placement.PlacementEvent;
 import io.radishspindle.placement.PlacementPolicy;
@@ -15,10 +14,8 @@
 import io.radishspindle.platform.WorkerClient.ControlReply;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.function.LongFunction;
 import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
@@ -30,7 +27,7 @@
  * has answered messages of this epoch that were sent less than a control lease ago; once that authority has been
  * gained and lost again, the object ends, and the VM must raise the epoch to own the group again.
  */
-final class Owner implements WorkerLink.Listener, JobDesk.Commands {
+final class Owner implements GroupWorkers.Listener, JobDesk.Commands {
     /** Told that the object has ended. */
     interface Listener {
         void ended(Owner owner, End end);
@@ -46,10 +43,9 @@
     private final Effects fx;
     private final OwnershipTiming timing;
     private final String group;
-    private final String recordKey;
     private final OwnershipRecord record;
     private final Listener listener;
-    private final Map<String, WorkerLink> links = new TreeMap<>();
+    private final GroupWorkers workers;
     private final Set<TaskAttempt> reported = new HashSet<>();
     private final Set<String> unreachable = new HashSet<>();
     private final Set<String> lost = new HashSet<>();
@@ -57,10 +53,6 @@
     private final ClaimReplies firstReplies = new ClaimReplies();
     private final Journal journal;
     private final JobDesk desk;
-    private List<Set<String>> quorums;
-    private long confirmedAtMs;
-    private boolean confirming;
-    private long nextConfirmAtMs;
     private long majorityAtMs = Quorum.NEVER;
     private boolean serving;
     private boolean mayStart;
@@ -79,14 +71,9 @@
         this.fx = fx;
         this.timing = timing;
         this.group = group;
-        this.recordKey = "group/" + group + "/owner";
         this.record = record;
-        this.confirmedAtMs = confirmedAtMs;
-        this.quorums = record.quorums();
         this.listener = listener;
-        for (WorkerInfo worker : record.workers()) {
-            links.put(worker.id(), new WorkerLink(fx, timing, record.epoch(), worker, this));
-        }
+        workers = new GroupWorkers(fx, timing, group, record, confirmedAtMs, this);
         journal = new Journal(
                 fx,
                 "group/" + group + "/",
@@ -122,31 +109,26 @@
     }
 
     boolean hasAuthority() {
-        return fx.now() <= authorityUntilMs();
+        return fx.now() <= workers.authorityUntilMs();
     }
 
     boolean isJournalIdle() {
         return journal.unjournalled() == 0;
     }
 
-    Journal journal() {
-        return journal;
-    }
-
-    /** A change of the worker set may be in force: from now on a majority of both sets is needed. */
-    void requireAlso(Set<String> workers) {
-        quorums = List.of(record.workerIds(), workers);
+    GroupWorkers workers() {
+        return workers;
     }
 
-    /** The change of the worker set is complete, or certain not to be in force. */
-    void requireOnlyOwn() {
-        quorums = List.of(record.workerIds());
+    /** Workers that may leave the record: they were lost or silent for long. */
+    Set<String> longLost() {
+        return workers.longLost(majorityAtMs);
     }
 
     /** Workers that leave by the VM list. */
     void noteLeaving(Set<String> workerIds) {
         for (String id : workerIds) {
-            if (serving && links.containsKey(id) && leaving.add(id)) {
+            if (serving && workers.isMember(id) && leaving.add(id)) {
                 desk.feed(new PlacementEvent.WorkerLeaving(id));
             }
         }
@@ -157,7 +139,7 @@
             return;
         }
         noteMajority();
-        long authorityUntil = stopping ? Quorum.NEVER : authorityUntilMs();
+        long authorityUntil = stopping ? Quorum.NEVER : workers.authorityUntilMs();
         if (majorityAtMs != Quorum.NEVER && !stopping && fx.now() > authorityUntil) {
             fx.metrics().authorityLost();
             end(End.AUTHORITY_LAPSED, "no majority of workers answers");
@@ -174,13 +156,13 @@
             updateMayStart();
             desk.feed(new PlacementEvent.Tick());
         }
-        sendAll(authorityUntil);
+        workers.send(authorityUntil);
     }
 
     /** Sends what the handled event caused. */
     void flush() {
         if (!ended && !stopping) {
-            sendAll(authorityUntilMs());
+            workers.send(workers.authorityUntilMs());
         }
     }
 
@@ -223,7 +205,7 @@
     /** Stops all commands before a release; unacknowledged finishes stay with the workers. */
     void stop() {
         stopping = true;
-        links.values().forEach(WorkerLink::close);
+        workers.close();
     }
 
     /** Ends without telling the listener. */
@@ -232,35 +214,14 @@
             return;
         }
         ended = true;
-        links.values().forEach(WorkerLink::close);
+        workers.close();
         journal.close();
         desk.close();
     }
 
-    /** Workers that may leave the record: they were lost or silent for long. */
-    Set<String> longLost() {
-        Set<String> result = new HashSet<>();
-        links.forEach((id, link) -> {
-            long silentSince = Math.max(link.answeredSentAtMs(), majorityAtMs);
-            if (!link.isReady()
-                    && link.isLost()
-                    && fx.now() - silentSince > timing.lostAfterMs() + OwnershipTiming.KEEP_LOST_WORKER_MS) {
-                result.add(id);
-            }
-        });
-        return result;
-    }
-
-    /** Whether all workers but these answer, so that raising the epoch leaves no task open. */
-    boolean allReadyExcept(Set<String> ids) {
-        return links.entrySet().stream()
-                .allMatch(entry ->
-                        ids.contains(entry.getKey()) || entry.getValue().isReady());
-    }
-
     @Override
     public boolean start(String workerId, WorkerClient.Start start) {
-        WorkerLink link = links.get(workerId);
+        WorkerLink link = workers.find(workerId);
         if (link == null || !link.isReady() || !mayStart) {
             return false;
         }
@@ -270,7 +231,7 @@
 
     @Override
     public void order(String workerId, WorkerClient.Order order) {
-        WorkerLink link = links.get(workerId);
+        WorkerLink link = workers.find(workerId);
         if (link != null) {
             link.order(order);
         }
@@ -279,7 +240,7 @@
     @Override
     public void acknowledge(String workerId, TaskAttempt attempt) {
         reported.remove(attempt);
-        WorkerLink link = links.get(workerId);
+        WorkerLink link = workers.find(workerId);
         if (link != null) {
             link.acknowledge(attempt);
         }
@@ -317,6 +278,11 @@
         desk.feed(new PlacementEvent.Tick());
     }
 
+    @Override
+    public void laterEpochInStore() {
+        end(End.SUPERSEDED, "record has a later epoch");
+    }
+
     @Override
     public void superseded(WorkerLink link, ControlReply reply) {
         if (reply.epoch() > record.epoch()) {
@@ -357,21 +323,8 @@
         }
     }
 
-    private long authorityUntilMs() {
-        long at = Quorum.majoritySince(quorums, id -> at(id, true));
-        return at == Quorum.NEVER ? Quorum.NEVER : at + timing.controlLeaseMs();
-    }
-
-    private long at(String workerId, boolean answered) {
-        WorkerLink link = links.get(workerId);
-        if (link == null) {
-            return Quorum.NEVER;
-        }
-        return answered ? link.answeredSentAtMs() : link.claimedAtMs();
-    }
-
     private void noteMajority() {
-        if (majorityAtMs == Quorum.NEVER && Quorum.majoritySince(quorums, id -> at(id, false)) != Quorum.NEVER) {
+        if (majorityAtMs == Quorum.NEVER && workers.hasClaimedMajority()) {
             // The claim that completes the majority counts: until then the old owner may have had authority.
             majorityAtMs = fx.now();
         }
@@ -382,7 +335,7 @@
         if (serving || ended || !journal.isOpen() || majorityAtMs == Quorum.NEVER) {
             return;
         }
-        boolean all = Quorum.allAt(record.workerIds(), id -> at(id, false)) != Quorum.NEVER;
+        boolean all = workers.hasClaimedAll();
         if (!all && fx.now() <= majorityAtMs + timing.controlLeaseMs()) {
             return;
         }
@@ -391,7 +344,7 @@
         desk.feed(new PlacementEvent.AuthorityChanged(false, record.epoch()));
         desk.recover(all ? fx.now() : majorityAtMs + timing.takeoverOpenMs());
         firstReplies.withoutReplaced().forEach((id, reply) -> {
-            WorkerLink link = links.get(id);
+            WorkerLink link = workers.find(id);
             if (link != null) {
                 introduce(link, reply);
             }
@@ -414,7 +367,7 @@
         if (!serving) {
             return;
         }
-        links.forEach((id, link) -> {
+        workers.forEach((id, link) -> {
             if (link.claimedAtMs() == Quorum.NEVER || !link.isUnreachable()) {
                 return;
             }
@@ -429,36 +382,6 @@
         });
     }
 
-    private void sendAll(long authorityUntilMs) {
-        long confirmedUntil = confirmedAtMs + timing.heartbeatMs();
-        boolean confirm = false;
-        for (WorkerLink link : links.values()) {
-            link.tick(authorityUntilMs, confirmedUntil);
-            confirm |= link.needsConfirmation();
-        }
-        if (confirm && !confirming && fx.now() > confirmedUntil && fx.now() >= nextConfirmAtMs) {
-            confirmEpoch();
-        }
-    }
-
-    private void confirmEpoch() {
-        confirming = true;
-        long sentAt = fx.now();
-        nextConfirmAtMs = sentAt + timing.heartbeatMs();
-        fx.read(recordKey, result -> {
-            confirming = false;
-            if (ended || result.isLeft()) {
-                return;
-            }
-            @Nullable OwnershipRecord found = decode(result.get());
-            if (found == null || found.epoch() > record.epoch()) {
-                end(End.SUPERSEDED, "record has a later epoch");
-            } else {
-                confirmedAtMs = sentAt;
-            }
-        });
-    }
-
     static @Nullable OwnershipRecord decode(Store.Entry entry) {
         return entry.exists() ? RecordCodec.decode(entry.value(), OwnershipRecord.class) : null;
     }
