--- a/demo-runner/src/main/java/io/radishspindle/demo/JobDriver.java
+++ b/demo-runner/src/main/java/io/radishspindle/demo/JobDriver.java
@@ -22,6 +22,7 @@
 final class JobDriver {
     /** A submission to a paused VM waits for the HTTP timeout of 15 s, and that may happen several times in a row. */
     private static final long SUBMIT_LIMIT_MS = 90_000;
+
     private static final long RETRY_MS = 200;
     private static final int CONFLICT = 409;
 
--- a/library/src/main/java/io/radishspindle/config/StoreFollower.java
+++ b/library/src/main/java/io/radishspindle/config/StoreFollower.java
@@ -12,11 +12,11 @@
 /**
  * Follows the document in the store: one read, then a watch that is renewed for ever. Deterministic; not thread-safe.
  *
- * <p>A dead watch and a quiet one look the same. Therefore a watch that has been quiet for {@link #QUIET_MS} is checked
- * by a second watch that waits no time: it costs one call and, unlike a read, carries the document only if it changed.
- * The watch is replaced if the check finds what the watch should have reported, or gets no answer. Both times together
- * are below 5 s, because a change has to be in force everywhere within 5 s also when a watch is dead. A rare read
- * finds a store whose watches answer, but miss changes.
+ * <p>A dead watch and a quiet one look the same. Therefore a watch that has been quiet for {@link #QUIET_MS} is
+ * checked by a second watch that waits no time: it costs one call and, unlike a read, carries the document only if
+ * it changed. The watch is replaced if the check finds what the watch should have reported, or gets no answer. Both
+ * times together are below 5 s, because a change has to be in force everywhere within 5 s also when a watch is
+ * dead. A rare read finds a store whose watches answer, but miss changes.
  */
 final class StoreFollower {
     static final long QUIET_MS = 3_000;
--- a/library/src/main/java/io/radishspindle/entry/OperatorApi.java
+++ b/library/src/main/java/io/radishspindle/entry/OperatorApi.java
@@ -12,8 +12,8 @@
 import java.util.function.Supplier;
 
 /**
- * HTTP interface for operators and auditors: configuration, audit entries, VMs, workers, groups, endpoints and metrics.
- * Belongs to one event loop. Jobs have their own interface.
+ * HTTP interface for operators and auditors: configuration, audit entries, VMs, workers, groups, endpoints and
+ * metrics. Belongs to one event loop. Jobs have their own interface.
  */
 public final class OperatorApi {
     private final ConfigRoutes config;
--- a/library/src/main/java/io/radishspindle/entry/job/KeyedSubmission.java
+++ b/library/src/main/java/io/radishspindle/entry/job/KeyedSubmission.java
@@ -48,19 +48,37 @@
                 return Future.succeededFuture(Either.left(begun.getLeft()));
             }
             if (begun.get() instanceof KeyedRequests.Begun.Granted granted) {
-                return submit.apply(suffix).onSuccess(result -> settle(granted.claim(), result));
+                return submit.apply(suffix).compose(result -> settle(granted.claim(), result));
             }
             return Future.succeededFuture(Either.left(repeated(begun.get(), suffix)));
         });
     }
 
-    /** The record of an unknown outcome stays, so that a repeat is not submitted again. */
-    private void settle(KeyedRequests.Claim claim, Either<Failure, JobStatus> result) {
+    /**
+     * Settles the record of the key. The record of an unknown outcome stays, so that a repeat is not submitted
+     * again. "Not run" is answered only after the record is gone, because the caller may repeat the job at once; if
+     * the record can't be removed, the answer says that the key stays in use.
+     */
+    private Future<Either<Failure, JobStatus>> settle(KeyedRequests.Claim claim, Either<Failure, JobStatus> result) {
         if (result.isRight()) {
             keyed.complete(claim, new KeyedRequests.StoredAnswer(ACCEPTED, List.of(), Buffer.buffer()));
-        } else if (result.getLeft().notRun()) {
-            keyed.release(claim);
+            return Future.succeededFuture(result);
         }
+        if (!result.getLeft().notRun()) {
+            return Future.succeededFuture(result);
+        }
+        return keyed.release(claim)
+                .map(released -> released.isRight() ? result : Either.left(keyKept(result.getLeft())));
+    }
+
+    private static Failure keyKept(Failure cause) {
+        return new Failure(
+                cause.code(),
+                cause.step(),
+                cause.peer(),
+                cause.message() + "; the key could not be freed, so a repeat with it is refused until it expires",
+                true,
+                0);
     }
 
     private static Failure repeated(KeyedRequests.Begun begun, String suffix) {
--- a/library/src/main/java/io/radishspindle/entry/operator/AuditRoutes.java
+++ b/library/src/main/java/io/radishspindle/entry/operator/AuditRoutes.java
@@ -14,7 +14,8 @@
 import java.util.function.Predicate;
 
 /**
- * Lists accepted changes, newest first: from the document and, further back, from the store. Belongs to one event loop.
+ * Lists accepted changes, newest first: from the document and, further back, from the store. Belongs to one event
+ * loop.
  */
 public final class AuditRoutes {
     private static final int DEFAULT_LIMIT = 100;
--- a/library/src/main/java/io/radishspindle/membership/Directory.java
+++ b/library/src/main/java/io/radishspindle/membership/Directory.java
@@ -82,8 +82,8 @@
     }
 
     /**
-     * Forgets entry VMs that are dead and that the list lacks. The list lags, so a VM that is heard stays known; and a
-     * list without any entry VM is not believed.
+     * Forgets entry VMs that are dead and that the list lacks. The list lags, so a VM that is heard stays known;
+     * and a list without any entry VM is not believed.
      */
     void prune(Predicate<String> dead) {
         if (!listed.isEmpty()) {
--- a/library/src/main/java/io/radishspindle/ownership/ClaimReplies.java
+++ b/library/src/main/java/io/radishspindle/ownership/ClaimReplies.java
@@ -13,9 +13,10 @@
 /**
  * Answers to the claims of a new owner until it serves. Not thread-safe.
  *
- * <p>While an owner waits for a majority, the old owner may go on, so that an early answer can be seconds old when the
- * last one arrives. An owner starts a further attempt of a task only when the earlier one has ended for certain.
- * Therefore an attempt that was reported as running has ended if any worker reports a later attempt of its task.
+ * <p>While an owner waits for a majority, the old owner may go on, so that an early answer can be seconds old when
+ * the last one arrives. An owner starts a further attempt of a task only when the earlier one has ended for
+ * certain. Therefore an attempt that was reported as running has ended if any worker reports a later attempt of its
+ * task.
  */
 final class ClaimReplies {
     private static final Comparator<TaskAttempt> BY_AGE =
--- a/library/src/main/java/io/radishspindle/placement/internal/RoomMaker.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/RoomMaker.java
@@ -68,8 +68,8 @@
     }
 
     /**
-     * Keeps what becomes free on one worker for a task for which nothing may be stopped. Otherwise smaller tasks would
-     * take each part that becomes free.
+     * Keeps what becomes free on one worker for a task for which nothing may be stopped. Otherwise smaller tasks
+     * would take each part that becomes free.
      */
     void hold(Resources demand) {
         WorkerState best = null;
--- a/library/src/main/java/io/radishspindle/placement/internal/WorkerTable.java
+++ b/library/src/main/java/io/radishspindle/placement/internal/WorkerTable.java
@@ -101,8 +101,8 @@
     }
 
     /**
-     * Whether a task without accelerators leaves the cores and memory that the free accelerators of a worker will need:
-     * for each of them a quarter of its part of the worker.
+     * Whether a task without accelerators leaves the cores and memory that the free accelerators of a worker will
+     * need: for each of them a quarter of its part of the worker.
      */
     static boolean leavesAcceleratorsUsable(WorkerState worker, Resources demand) {
         Resources capacity = worker.info.capacity();
--- a/library/src/main/java/io/radishspindle/platform/http/HttpVmList.java
+++ b/library/src/main/java/io/radishspindle/platform/http/HttpVmList.java
@@ -15,8 +15,8 @@
 /**
  * The platform's VM list over HTTP/1.1. Thread-safe. Every failure is retryable, because reading has no effect.
  *
- * <p>Asks with {@code If-None-Match}, so that an unchanged list is not sent again: with 1,800 workers it has about 400
- * KiB, and every entry VM reads it every few seconds.
+ * <p>Asks with {@code If-None-Match}, so that an unchanged list is not sent again: with 1,800 workers it has about
+ * 400 KiB, and every entry VM reads it every few seconds.
  */
 public final class HttpVmList implements VmList {
     private static final String STEP = "vm-list.fetch";
--- a/library/src/main/java/io/radishspindle/routing/SlotReserve.java
+++ b/library/src/main/java/io/radishspindle/routing/SlotReserve.java
@@ -1,11 +1,11 @@
 package io.radishspindle.routing;
 
 /**
- * Keeps a fifth of the slots free of bulk requests while higher classes are active, so that these find a free slot and
- * don't wait for a long bulk request to end. Not thread-safe.
+ * Keeps a fifth of the slots free of bulk requests while higher classes are active, so that these find a free slot
+ * and don't wait for a long bulk request to end. Not thread-safe.
  *
- * <p>Invariant: the reserve never takes the share that the weights give to bulk; it applies only while no higher class
- * waits.
+ * <p>Invariant: the reserve never takes the share that the weights give to bulk; it applies only while no higher
+ * class waits.
  */
 final class SlotReserve {
     /** In RoutingReplay a tenth gave interactive requests a p99 of 30 ms, a fifth 12 ms for 13% less bulk. */
--- a/platform-standins/src/main/java/io/radishspindle/standin/FaultGate.java
+++ b/platform-standins/src/main/java/io/radishspindle/standin/FaultGate.java
@@ -12,8 +12,8 @@
 /**
  * Lets requests of a stand-in through, or not, as the faults say that are switched on. Belongs to one event loop.
  *
- * <p>Half of the latency passes before the operation and half after it, so that an operation may take effect after its
- * requester has given up.
+ * <p>Half of the latency passes before the operation and half after it, so that an operation may take effect after
+ * its requester has given up.
  */
 final class FaultGate {
     /** What happens to requests during an outage. */
--- a/platform-standins/src/main/java/io/radishspindle/standin/History.java
+++ b/platform-standins/src/main/java/io/radishspindle/standin/History.java
@@ -14,8 +14,8 @@
 /**
  * What a stand-in did, in the order in which it happened. Thread-safe.
  *
- * <p>With a file, each event is one line of JSON that is handed to the operating system at once, so that the history of
- * a killed process survives it.
+ * <p>With a file, each event is one line of JSON that is handed to the operating system at once, so that the
+ * history of a killed process survives it.
  */
 final class History<T> {
     private final List<T> events = new ArrayList<>();
--- a/platform-standins/src/main/java/io/radishspindle/standin/StandInOptions.java
+++ b/platform-standins/src/main/java/io/radishspindle/standin/StandInOptions.java
@@ -36,6 +36,7 @@
         number(parser, "--accelerators", 0).help("whole accelerators");
         number(parser, "--usage-lag-ms", 2_000).help("time between samples of usage");
         number(parser, "--checkpoint-ms", 100).help("how long a checkpoint takes");
+        number(parser, "--quiet-ms", 4_000).help("how long messages are refused after the start");
         parser.addArgument("--fail-all").action(Arguments.storeTrue()).help("every task fails soon after its start");
     }
 
@@ -70,8 +71,11 @@
                 options.getLong("milli_cores"),
                 options.getLong("memory_mib"),
                 Math.toIntExact(options.getLong("accelerators")));
-        WorkerCore.Options behaviour =
-                new WorkerCore.Options(capacity, options.getLong("usage_lag_ms"), options.getLong("checkpoint_ms"));
+        WorkerCore.Options behaviour = new WorkerCore.Options(
+                capacity,
+                options.getLong("usage_lag_ms"),
+                options.getLong("checkpoint_ms"),
+                options.getLong("quiet_ms"));
         History<WorkerEvent> history = History.in(historyDirectory(options), address.id());
         return new WorkerServer(address, behaviour, options.getBoolean("fail_all"), history);
     }
--- a/platform-standins/src/main/java/io/radishspindle/standin/StoreState.java
+++ b/platform-standins/src/main/java/io/radishspindle/standin/StoreState.java
@@ -10,8 +10,8 @@
 /**
  * Contents of the store. Not thread-safe.
  *
- * <p>Invariants: every change raises the revision by one. A key's version is 1 after its creation and rises by one with
- * each write. Deletions are remembered, so that a watch which resumes later still sees them.
+ * <p>Invariants: every change raises the revision by one. A key's version is 1 after its creation and rises by one
+ * with each write. Deletions are remembered, so that a watch which resumes later still sees them.
  */
 final class StoreState {
     /** The largest value that is accepted. */
--- a/platform-standins/src/main/java/io/radishspindle/standin/WorkerCore.java
+++ b/platform-standins/src/main/java/io/radishspindle/standin/WorkerCore.java
@@ -23,8 +23,8 @@
  * A worker without sockets and timers; see docs/design.md, sections 3 and 11. Not thread-safe.
  *
  * <p>Invariants: the reserved resources of its tasks never exceed its capacity. No two attempts of a task run at the
- * same time. When the run lease has lapsed, all tasks are stopped before anything else happens. Times are milliseconds
- * of one monotonic clock.
+ * same time. When the run lease has lapsed, all tasks are stopped before anything else happens. Times are
+ * milliseconds of one monotonic clock.
  */
 final class WorkerCore {
     /** A longer time between two calls means that the process was paused; its tasks made no progress then. */
@@ -35,8 +35,9 @@
      *
      * @param usageLagMs time between samples of usage
      * @param checkpointMs how long a checkpoint takes
+     * @param quietMs how long messages are refused after the start; longer than a control lease
      */
-    record Options(Resources capacity, long usageLagMs, long checkpointMs) {}
+    record Options(Resources capacity, long usageLagMs, long checkpointMs, long quietMs) {}
 
     /** Takes the worker's own record. */
     interface Recorder {
@@ -50,7 +51,7 @@
 
     private final Options options;
     private final Recorder recorder;
-    private final WorkerFence fence = new WorkerFence();
+    private final WorkerFence fence;
     private final Map<TaskId, WorkerTask> running = new LinkedHashMap<>();
     private final Map<TaskAttempt, Finished> finished = new LinkedHashMap<>();
     private boolean failAll;
@@ -61,6 +62,7 @@
         this.options = options;
         this.recorder = recorder;
         this.lastAdvanceMs = nowMs;
+        this.fence = new WorkerFence(nowMs + options.quietMs());
     }
 
     void setFailAll(boolean on) {
--- a/platform-standins/src/main/java/io/radishspindle/standin/WorkerFence.java
+++ b/platform-standins/src/main/java/io/radishspindle/standin/WorkerFence.java
@@ -8,9 +8,12 @@
  *
  * <p>Invariants: epoch and term never decrease. Only a claim makes its sender the holder, so that the owner always
  * learns what runs, also after the worker restarted. Leases are counted from the echoed worker time, never from the
- * arrival of a message. An echo from the future stems from an earlier process and extends nothing.
+ * arrival of a message. An echo from the future stems from an earlier process and extends nothing. A restarted worker
+ * has forgotten its epoch: it refuses everything until the authority of every owner that it may have obeyed has
+ * lapsed, and a caretaker's term of an epoch that it does not know.
  */
 final class WorkerFence {
+    private final long quietUntilMs;
     private long epoch;
     private long term;
     private String holder = "";
@@ -18,8 +21,16 @@
     private long controlLeaseEndsAtMs = Long.MIN_VALUE;
     private long runLeaseEndsAtMs = Long.MIN_VALUE;
 
+    /** @param quietUntilMs until then every message is refused */
+    WorkerFence(long quietUntilMs) {
+        this.quietUntilMs = quietUntilMs;
+    }
+
     /** Takes a message in; false if it must change nothing. */
     boolean admit(long nowMs, ControlRequest request) {
+        if (nowMs < quietUntilMs) {
+            return false;
+        }
         boolean admitted = isFromHolder(request) || (request.mode() == Mode.CLAIM && mayReplaceHolder(nowMs, request));
         if (!admitted) {
             return false;
@@ -61,7 +72,7 @@
 
     private boolean mayReplaceHolder(long nowMs, ControlRequest request) {
         if (request.epoch() != epoch) {
-            return request.epoch() > epoch;
+            return request.epoch() > epoch && request.term() == 0;
         }
         return request.term() > term && !isControlLeaseValid(nowMs);
     }
--- a/platform-standins/src/main/java/io/radishspindle/standin/WorkerTask.java
+++ b/platform-standins/src/main/java/io/radishspindle/standin/WorkerTask.java
@@ -11,9 +11,9 @@
 /**
  * A running attempt: a timer. Not thread-safe.
  *
- * <p>Parameters: {@code runMs} is its length in milliseconds or {@code forever}, by default the expected run time, and
- * an expected run time of 0 means until stopped; {@code fail} = {@code true} lets it fail at its end;
- * {@code usedFraction} is the share of its resources that it uses.
+ * <p>Parameters: {@code runMs} is its length in milliseconds or {@code forever}, by default the expected run time,
+ * and an expected run time of 0 means until stopped; {@code fail} = {@code true} lets it fail at its end; {@code
+ * usedFraction} is the share of its resources that it uses.
  */
 final class WorkerTask {
     static final long FOREVER = Long.MAX_VALUE;
--- a/platform-standins/src/test/java/io/radishspindle/standin/WorkerCoreTest.java
+++ b/platform-standins/src/test/java/io/radishspindle/standin/WorkerCoreTest.java
@@ -26,7 +26,7 @@
     private static final Resources CAPACITY = new Resources(4_000, 4_096, 1);
 
     private final WorkerCore core =
-            new WorkerCore(new WorkerCore.Options(CAPACITY, 100, 50), new IgnoringRecorder(), 1_000);
+            new WorkerCore(new WorkerCore.Options(CAPACITY, 100, 50, 0), new IgnoringRecorder(), 1_000);
     private long nowMs = 1_000;
     private long sequence;
 
@@ -46,6 +46,31 @@
         assertThat(second.finished()).isEmpty();
     }
 
+    /** A restarted worker that obeyed a delayed claim of an old epoch would give its owner a majority again. */
+    @Test
+    void should_refuse_everything_for_a_time_after_the_start() {
+        // given
+        var restarted = new WorkerCore(new WorkerCore.Options(CAPACITY, 100, 50, 4_000), new IgnoringRecorder(), 1_000);
+        var claim = new ControlRequest(
+                Mode.CLAIM, 1, 0, "a", 1, 0, CONTROL_LEASE_MS, RUN_LEASE_MS, List.of(), List.of(), List.of());
+        // when
+        ControlReply early = restarted.control(4_999, claim);
+        ControlReply late = restarted.control(5_000, claim);
+        // then
+        assertThat(early.accepted()).isFalse();
+        assertThat(late.accepted()).isTrue();
+    }
+
+    /** A restarted worker must not count for the majority of a caretaker whose epoch may be outdated. */
+    @Test
+    void should_refuse_a_term_of_an_epoch_that_it_does_not_know() {
+        // when
+        ControlReply reply = claim(3, 1, "caretaker");
+        // then
+        assertThat(reply.accepted()).isFalse();
+        assertThat(reply.epoch()).isZero();
+    }
+
     @Test
     void should_refuse_a_lower_epoch_and_change_nothing() {
         // given
