--- a/platform-standins/src/test/java/io/radishspindle/standin/WorkerOverHttpTest.java
+++ b/platform-standins/src/test/java/io/radishspindle/standin/WorkerOverHttpTest.java
@@ -45,7 +45,7 @@
         // given
         WorkerServer server = process.start(new WorkerServer(
                 InProcess.address("worker"),
-                new WorkerCore.Options(CAPACITY, 100, 50),
+                new WorkerCore.Options(CAPACITY, 100, 50, 0),
                 false,
                 History.in(directory, "w")));
         WorkerClient client = new HttpWorkerClient(process.vertx);
@@ -66,7 +66,7 @@
     void should_report_an_unreachable_worker_as_not_run_and_a_silent_one_as_unknown() {
         // given
         WorkerServer server = process.start(new WorkerServer(
-                InProcess.address("worker"), new WorkerCore.Options(CAPACITY, 100, 50), false, History.inMemory()));
+                InProcess.address("worker"), new WorkerCore.Options(CAPACITY, 100, 50, 0), false, History.inMemory()));
         WorkerInfo worker = new WorkerInfo("worker-1", "dc", "rack", "127.0.0.1", server.port(), CAPACITY);
         WorkerClient client = new HttpWorkerClient(process.vertx);
         process.post(server, "/admin/faults", "{\"out\": \"hang\"}");
