Resolve the unknown outcome of a submission at the next owner

A job that was on its way to the paused owner had an unknown outcome for good; its key stayed taken, and repeats got 409 until the caller gave up after 90 s.

Change: a submission names the only epoch in which it may be accepted. An owner of a later epoch has fenced all earlier journals, so 'not found' from it proves that the job was not accepted, and 'found' that it was. The entry VM asks for up to 8 s. A VM that does not serve the group answers NO_OWNER instead of NOT_FOUND; GroupRuntimeTest expects that now, which is stricter: NOT_FOUND would have been false.

--- a/library/src/main/java/io/radishspindle/entry/EntryVm.java
+++ b/library/src/main/java/io/radishspindle/entry/EntryVm.java
@@ -27,6 +27,7 @@
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.ext.web.Router;
 import java.util.UUID;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
 
@@ -43,6 +44,7 @@
     private static final int CALLER_IDLE_SECONDS = 120;
 
     private static final long POLICY_REFRESH_MS = 1_000;
+    private static final long QUERY_PAUSE_MS = 250;
 
     private final Vertx vertx;
     private final Clock clock;
@@ -99,7 +101,9 @@
                 keyed,
                 settings,
                 metrics);
-        jobRouter = new JobRouter(vmId, membership::view, groups, peers);
+        jobRouter = new JobRouter(
+                vmId, membership::view, groups, peers, clock, () -> vertx.timer(QUERY_PAUSE_MS, TimeUnit.MILLISECONDS)
+                        .mapEmpty());
         jobApi = new JobApi(
                 vertx, clock, jobRouter, keyed, () -> UUID.randomUUID().toString());
         var options = new HttpServerOptions().setMaxHeaderSize(MAX_HEADER_BYTES).setIdleTimeout(CALLER_IDLE_SECONDS);
--- a/library/src/main/java/io/radishspindle/entry/job/JobRouter.java
+++ b/library/src/main/java/io/radishspindle/entry/job/JobRouter.java
@@ -6,6 +6,7 @@
 import io.radishspindle.model.JobSpec;
 import io.radishspindle.model.JobStatus;
 import io.radishspindle.ownership.GroupService;
+import io.radishspindle.platform.Clock;
 import io.radishspindle.protocol.PeerMessage;
 import io.radishspindle.protocol.PeerMessenger;
 import io.radishspindle.protocol.message.CancelJob;
@@ -34,6 +35,9 @@
 
     private static final long QUERY_TIMEOUT_MS = 1_000;
 
+    /** A takeover with one worker missing takes the detection (1 s), a control lease (3 s) and some round trips. */
+    private static final long RESOLVE_MS = 8_000;
+
     /** Bounds the time that a submission takes when several groups are between owners. */
     private static final int MAX_GROUPS_TRIED = 3;
 
@@ -41,9 +45,20 @@
     private final Supplier<MembershipView> view;
     private final GroupService groups;
     private final PeerMessenger peers;
+    private final Clock clock;
+    private final Supplier<Future<Void>> delay;
     private final GroupChooser chooser = new LocalFirstChooser();
 
-    public JobRouter(String selfVm, Supplier<MembershipView> view, GroupService groups, PeerMessenger peers) {
+    /** @param delay yields a future that completes after the pause between two queries */
+    public JobRouter(
+            String selfVm,
+            Supplier<MembershipView> view,
+            GroupService groups,
+            PeerMessenger peers,
+            Clock clock,
+            Supplier<Future<Void>> delay) {
+        this.clock = clock;
+        this.delay = delay;
         this.selfVm = selfVm;
         this.view = view;
         this.groups = groups;
@@ -52,8 +67,13 @@
 
     /** Registers the handlers for submissions and queries of other entry VMs. */
     public void start() {
-        peers.handle(SubmitJob.class, (from, message) -> reply(groups.submit(message.group(), message.job())));
-        peers.handle(QueryJob.class, (from, message) -> reply(Future.succeededFuture(groups.status(message.jobId()))));
+        peers.handle(
+                SubmitJob.class,
+                (from, message) -> reply(groups.submit(message.group(), message.epoch(), message.job())));
+        peers.handle(
+                QueryJob.class,
+                (from, message) -> reply(
+                        Future.succeededFuture(groups.status(message.group(), message.jobId(), message.afterEpoch()))));
         peers.handle(CancelJob.class, (from, message) -> reply(groups.cancel(message.jobId(), message.actor())));
         peers.handle(
                 ListJobs.class,
@@ -82,21 +102,51 @@
             List<String> candidates, int index, Function<String, JobSpec> spec, String suffix) {
         String group = candidates.get(index);
         JobSpec job = spec.apply(JobIds.create(group, suffix));
+        long epoch = epochOf(group);
         return atOwner(
                         group,
                         "job.submit",
-                        () -> groups.submit(group, job),
-                        new SubmitJob(group, job),
+                        () -> groups.submit(group, epoch, job),
+                        new SubmitJob(group, epoch, job),
                         SUBMIT_TIMEOUT_MS)
+                .compose(result -> isUnknown(result)
+                        ? resolve(group, epoch, job.id(), result.getLeft(), clock.nowMs() + RESOLVE_MS)
+                        : Future.succeededFuture(result))
                 .compose(result -> {
                     boolean last = index + 1 >= Math.min(candidates.size(), MAX_GROUPS_TRIED);
                     if (last || !mayTryElsewhere(result)) {
-                        return Future.succeededFuture(result.mapLeft(failure -> withJobId(failure, job.id())));
+                        return Future.succeededFuture(result);
                     }
                     return submitToFirst(candidates, index + 1, spec, suffix);
                 });
     }
 
+    private static boolean isUnknown(Either<Failure, JobStatus> result) {
+        return result.isLeft() && !result.getLeft().notRun();
+    }
+
+    /** Asks the owners of later epochs, whose journal tells for certain, until one answers or the deadline passes. */
+    private Future<Either<Failure, JobStatus>> resolve(
+            String group, long epoch, String jobId, Failure unknown, long deadlineAtMs) {
+        return query(group, jobId, epoch).compose(found -> {
+            if (found.isRight()) {
+                return Future.succeededFuture(found);
+            }
+            if (found.getLeft().code() == ErrorCode.NOT_FOUND) {
+                return Future.succeededFuture(Either.left(NoGroup.noOwner("job.submit", group)));
+            }
+            if (clock.nowMs() >= deadlineAtMs) {
+                return Future.succeededFuture(Either.left(withJobId(unknown, jobId)));
+            }
+            return delay.get().compose(done -> resolve(group, epoch, jobId, unknown, deadlineAtMs));
+        });
+    }
+
+    private long epochOf(String group) {
+        MembershipView.OwnedGroup owned = view.get().groupOwners().get(group);
+        return owned == null ? 0 : owned.summary().epoch();
+    }
+
     private static boolean mayTryElsewhere(Either<Failure, JobStatus> result) {
         return result.isLeft()
                 && result.getLeft().notRun()
@@ -106,9 +156,6 @@
 
     /** An unknown outcome names the job id, with which the submitter can ask later. */
     private static Failure withJobId(Failure failure, String jobId) {
-        if (failure.notRun()) {
-            return failure;
-        }
         return new Failure(
                 failure.code(),
                 failure.step(),
@@ -120,15 +167,19 @@
 
     Future<Either<Failure, JobStatus>> status(String jobId) {
         return JobIds.groupOf(jobId)
-                .map(group -> atOwner(
-                        group,
-                        "job.query",
-                        () -> Future.succeededFuture(groups.status(jobId)),
-                        new QueryJob(jobId),
-                        QUERY_TIMEOUT_MS))
+                .map(group -> query(group, jobId, 0))
                 .orElseGet(() -> Future.succeededFuture(Either.left(NoGroup.unknownJob(jobId))));
     }
 
+    private Future<Either<Failure, JobStatus>> query(String group, String jobId, long afterEpoch) {
+        return atOwner(
+                group,
+                "job.query",
+                () -> Future.succeededFuture(groups.status(group, jobId, afterEpoch)),
+                new QueryJob(group, jobId, afterEpoch),
+                QUERY_TIMEOUT_MS);
+    }
+
     Future<Either<Failure, JobStatus>> cancel(String jobId, String actor) {
         return JobIds.groupOf(jobId)
                 .map(group -> atOwner(
--- a/library/src/main/java/io/radishspindle/ownership/DataCentreCore.java
+++ b/library/src/main/java/io/radishspindle/ownership/DataCentreCore.java
@@ -63,11 +63,19 @@
         return byIndex.stream().flatMap(core -> core.summary().stream()).toList();
     }
 
-    public Optional<JobStatus> status(String jobId) {
-        return byIndex.stream()
-                .flatMap(core -> core.serving().stream())
-                .flatMap(owner -> owner.status(jobId).stream())
-                .findFirst();
+    /** See {@link GroupService#status}. */
+    public Either<Failure, JobStatus> status(String group, String jobId, long afterEpoch) {
+        GroupCore core = groups.get(group);
+        Optional<Owner> owner = core == null ? Optional.empty() : core.serving();
+        if (owner.isEmpty()) {
+            return Either.left(JobDesk.notOwner("group.job", group));
+        }
+        Optional<JobStatus> found = owner.get().status(jobId);
+        if (found.isPresent()) {
+            return Either.right(found.get());
+        }
+        boolean certain = owner.get().record().epoch() > afterEpoch;
+        return Either.left(certain ? notFound(jobId) : JobDesk.notOwner("group.job", group));
     }
 
     public List<JobStatus> statuses(int limit) {
@@ -126,7 +134,7 @@
             fx.answer(submit.request(), Either.left(Failure.rejected(ErrorCode.NOT_FOUND, "group.submit", message)));
             return;
         }
-        core.submit(submit.request(), submit.job());
+        core.submit(submit.request(), submit.epoch(), submit.job());
     }
 
     private void cancel(OwnershipEvent.CancelRequested cancel) {
--- a/library/src/main/java/io/radishspindle/ownership/GroupCore.java
+++ b/library/src/main/java/io/radishspindle/ownership/GroupCore.java
@@ -114,9 +114,13 @@
         }
     }
 
-    void submit(long request, JobSpec job) {
+    /** @param epoch the only epoch in which the job may be accepted; 0 for any */
+    void submit(long request, long epoch, JobSpec job) {
         Owner current = owner;
-        if (changing && !fx.storeDown()) {
+        boolean otherEpoch = changing || current == null || current.record().epoch() != epoch;
+        if (epoch != 0 && otherEpoch) {
+            fx.answer(request, Either.left(JobDesk.notOwner("group.submit", group)));
+        } else if (changing && !fx.storeDown()) {
             parked.add(new Parked(request, job, fx.now() + PARKED_MS));
         } else if (current != null && current.isServing()) {
             current.submit(request, job);
--- a/library/src/main/java/io/radishspindle/ownership/GroupRuntime.java
+++ b/library/src/main/java/io/radishspindle/ownership/GroupRuntime.java
@@ -95,9 +95,9 @@
     }
 
     @Override
-    public Future<Either<Failure, JobStatus>> submit(String group, JobSpec job) {
+    public Future<Either<Failure, JobStatus>> submit(String group, long epoch, JobSpec job) {
         long request = ++lastRequest;
-        return ask(request, new OwnershipEvent.SubmitRequested(request, group, job));
+        return ask(request, new OwnershipEvent.SubmitRequested(request, group, epoch, job));
     }
 
     @Override
@@ -107,14 +107,12 @@
     }
 
     @Override
-    public Either<Failure, JobStatus> status(String jobId) {
+    public Either<Failure, JobStatus> status(String group, String jobId, long afterEpoch) {
         DataCentreCore current = core;
         if (current == null) {
             return Either.left(stopped());
         }
-        return current.status(jobId)
-                .<Either<Failure, JobStatus>>map(Either::right)
-                .orElseGet(() -> Either.left(DataCentreCore.notFound(jobId)));
+        return current.status(group, jobId, afterEpoch);
     }
 
     @Override
--- a/library/src/main/java/io/radishspindle/ownership/GroupService.java
+++ b/library/src/main/java/io/radishspindle/ownership/GroupService.java
@@ -15,14 +15,23 @@
  * fail.
  */
 public interface GroupService {
-    /** Accepts a job into a group that this VM owns. Completes after the journal write. */
-    Future<Either<Failure, JobStatus>> submit(String group, JobSpec job);
+    /**
+     * Accepts a job into a group that this VM owns. Completes after the journal write.
+     *
+     * @param epoch the only epoch in which the job may be accepted, so that a later owner can tell for certain whether
+     *     it was
+     */
+    Future<Either<Failure, JobStatus>> submit(String group, long epoch, JobSpec job);
 
     /** Cancels a job of a group that this VM owns; {@code NOT_FOUND} if none has it. */
     Future<Either<Failure, JobStatus>> cancel(String jobId, String actor);
 
-    /** State of a job of a group that this VM owns; {@code NOT_FOUND} if none has it. */
-    Either<Failure, JobStatus> status(String jobId);
+    /**
+     * State of a job. {@code NOT_FOUND} means that this VM serves the group in an epoch above {@code afterEpoch} and its
+     * journal has no such job; since it has fenced the journals of all earlier epochs, the job was not and will not be
+     * accepted in them. {@code NO_OWNER} if this VM can't tell.
+     */
+    Either<Failure, JobStatus> status(String group, String jobId, long afterEpoch);
 
     List<JobStatus> statuses(int limit);
 
--- a/library/src/main/java/io/radishspindle/ownership/OwnershipEvent.java
+++ b/library/src/main/java/io/radishspindle/ownership/OwnershipEvent.java
@@ -37,8 +37,12 @@
     record ControlAnswered(long call, long sentAtMs, Either<Failure, WorkerClient.ControlReply> result)
             implements OwnershipEvent {}
 
-    /** A submitter wants a job accepted. */
-    record SubmitRequested(long request, String group, JobSpec job) implements OwnershipEvent {}
+    /**
+     * A submitter wants a job accepted.
+     *
+     * @param epoch the only epoch in which the job may be accepted; 0 for any
+     */
+    record SubmitRequested(long request, String group, long epoch, JobSpec job) implements OwnershipEvent {}
 
     /** Somebody wants a job cancelled. */
     record CancelRequested(long request, String jobId, String actor) implements OwnershipEvent {}
--- a/library/src/main/java/io/radishspindle/protocol/message/SubmitJob.java
+++ b/library/src/main/java/io/radishspindle/protocol/message/SubmitJob.java
@@ -3,5 +3,9 @@
 import io.radishspindle.model.JobSpec;
 import io.radishspindle.protocol.PeerMessage;
 
-/** Asks the owner of a group to accept a job; answered by {@link JobStatusReply}. Immutable and thread-safe. */
-public record SubmitJob(String group, JobSpec job) implements PeerMessage {}
+/**
+ * Asks the owner of a group to accept a job; answered by {@link JobStatusReply}. Immutable and thread-safe.
+ *
+ * @param epoch the only epoch in which the job may be accepted
+ */
+public record SubmitJob(String group, long epoch, JobSpec job) implements PeerMessage {}
--- a/library/src/test/java/io/radishspindle/entry/job/NoGroups.java
+++ b/library/src/test/java/io/radishspindle/entry/job/NoGroups.java
@@ -14,7 +14,7 @@
 /** An entry VM that owns no group. */
 final class NoGroups implements GroupService {
     @Override
-    public Future<Either<Failure, JobStatus>> submit(String group, JobSpec job) {
+    public Future<Either<Failure, JobStatus>> submit(String group, long epoch, JobSpec job) {
         return Future.succeededFuture(Either.left(NoGroup.noOwner("group.submit", group)));
     }
 
@@ -24,7 +24,7 @@
     }
 
     @Override
-    public Either<Failure, JobStatus> status(String jobId) {
+    public Either<Failure, JobStatus> status(String group, String jobId, long afterEpoch) {
         return Either.left(NoGroup.unknownJob(jobId));
     }
 
--- a/library/src/test/java/io/radishspindle/entry/job/SubmitJobSteps.java
+++ b/library/src/test/java/io/radishspindle/entry/job/SubmitJobSteps.java
@@ -23,6 +23,7 @@
 public class SubmitJobSteps {
     private final Map<String, MembershipView.OwnedGroup> groups = new TreeMap<>();
     private final FakePeers peers = new FakePeers();
+    private final VirtualClock clock = new VirtualClock();
     private MembershipView view;
     private Future<Either<Failure, JobStatus>> result;
 
@@ -48,9 +49,28 @@
         peers.failAt(vm, Failure.unknown("peer.request", vm, "connection closed"));
     }
 
+    @Given("{string} takes the group over without the job when the connection to {string} breaks")
+    public void takenOverWithoutJob(String next, String lost) {
+        connectionBreaks(lost);
+        peers.answerQueries(next, Failure.rejected(ErrorCode.NOT_FOUND, "group.job", "no such job"));
+        clock.onPass(() -> own("seoul/g0", next));
+    }
+
+    @Given("{string} takes the group over with the job when the connection to {string} breaks")
+    public void takenOverWithJob(String next, String lost) {
+        connectionBreaks(lost);
+        clock.onPass(() -> own("seoul/g0", next));
+    }
+
+    private void own(String group, String owner) {
+        Resources free = cores(16);
+        groups.put(group, new MembershipView.OwnedGroup(owner, new GroupSummary(group, 2, free, free, free, 0, true)));
+        view = new MembershipView(view.self(), view.entryVms(), List.of(), List.of(), Map.copyOf(groups));
+    }
+
     @When("the caller submits a job of {int} cores")
     public void submit(int cores) {
-        JobRouter router = new JobRouter(view.self().id(), () -> view, new NoGroups(), peers);
+        JobRouter router = new JobRouter(view.self().id(), () -> view, new NoGroups(), peers, clock, clock::pass);
         result = router.submit(
                 id -> new JobSpec(id, "team", "family", JobClass.BATCH, 1, cores(cores), 1_000, 3, Map.of()), "x1");
     }
--- a/library/src/test/java/io/radishspindle/ownership/GroupRuntimeTest.java
+++ b/library/src/test/java/io/radishspindle/ownership/GroupRuntimeTest.java
@@ -46,7 +46,7 @@
         runtime.start();
 
         // when
-        Either<Failure, JobStatus> result = await(runtime.submit("dc1/g0", JOB));
+        Either<Failure, JobStatus> result = await(runtime.submit("dc1/g0", 1, JOB));
 
         // then
         assertThat(result.getLeft().code()).isEqualTo(ErrorCode.NO_OWNER);
@@ -58,7 +58,7 @@
     void should_refuse_a_group_of_another_data_centre() throws Exception {
         runtime.start();
 
-        Either<Failure, JobStatus> result = await(runtime.submit("dc2/g0", JOB));
+        Either<Failure, JobStatus> result = await(runtime.submit("dc2/g0", 1, JOB));
 
         assertThat(result.getLeft().code()).isEqualTo(ErrorCode.NOT_FOUND);
         runtime.close();
@@ -68,7 +68,7 @@
     void should_not_find_an_unknown_job() throws Exception {
         runtime.start();
 
-        assertThat(runtime.status("j").getLeft().code()).isEqualTo(ErrorCode.NOT_FOUND);
+        assertThat(runtime.status("dc1/g0", "j", 0).getLeft().code()).isEqualTo(ErrorCode.NO_OWNER);
         assertThat(await(runtime.cancel("j", "me")).getLeft().code()).isEqualTo(ErrorCode.NOT_FOUND);
         runtime.close();
     }
@@ -78,7 +78,7 @@
         runtime.start();
         runtime.close();
 
-        assertThat(await(runtime.submit("dc1/g0", JOB)).getLeft().code()).isEqualTo(ErrorCode.NOT_READY);
+        assertThat(await(runtime.submit("dc1/g0", 1, JOB)).getLeft().code()).isEqualTo(ErrorCode.NOT_READY);
         assertThat(runtime.summaries()).isEmpty();
     }
 
--- a/library/src/test/resources/features/submit_job.feature
+++ b/library/src/test/resources/features/submit_job.feature
@@ -26,6 +26,17 @@
     Then the outcome is unknown and names the job
     And only "seoul-2" was asked
 
+  Scenario: A later owner without the job proves that it was not accepted
+    Given "seoul-3" takes the group over without the job when the connection to "seoul-2" breaks
+    When the caller submits a job of 2 cores
+    Then the job is accepted by "busan/g0"
+
+  Scenario: A later owner with the job proves that it was accepted
+    Given "seoul-3" takes the group over with the job when the connection to "seoul-2" breaks
+    When the caller submits a job of 2 cores
+    Then the job is accepted by "seoul/g0"
+    And only "seoul-2" was asked
+
   Scenario: A job that no group can hold is refused with the reason
     When the caller submits a job of 900 cores
     Then the job is refused as never fitting
--- a/soak-runner/src/main/java/io/radishspindle/soak/EntryVm.java
+++ b/soak-runner/src/main/java/io/radishspindle/soak/EntryVm.java
@@ -23,6 +23,7 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.LongFunction;
+import java.util.stream.IntStream;
 
 /** An entry VM: the real ownership core with a fake membership. Not thread-safe. */
 final class EntryVm extends Node {
@@ -103,7 +104,7 @@
     void submit(String group, JobSpec job, Consumer<Either<Failure, JobStatus>> done) {
         lastRequest++;
         requests.put(lastRequest, done);
-        handle(new OwnershipEvent.SubmitRequested(lastRequest, group, job));
+        handle(new OwnershipEvent.SubmitRequested(lastRequest, group, 0, job));
     }
 
     void cancel(String jobId) {
@@ -113,7 +114,14 @@
     }
 
     Optional<JobStatus> status(String jobId) {
-        return isAlive() ? core.status(jobId) : Optional.empty();
+        if (!isAlive()) {
+            return Optional.empty();
+        }
+        return IntStream.range(0, world.groups())
+                .mapToObj(index -> core.status(DATA_CENTRE + "/g" + index, jobId, 0))
+                .filter(Either::isRight)
+                .map(Either::get)
+                .findFirst();
     }
 
     private DataCentreCore newCore() {
