Use standard names: JobCoordinator, JoiningWorkers, one style of event names

Cause: read as a newcomer, two class names were figurative, four class comments described ownership in images, and event names in logs mixed underscores and hyphens.

--- a/benchmarks/src/main/java/io/radishspindle/bench/config/ConfigPropagation.java
+++ b/benchmarks/src/main/java/io/radishspindle/bench/config/ConfigPropagation.java
@@ -4,8 +4,8 @@
 import org.HdrHistogram.Histogram;
 
 /**
- * Compares ways to spread the fleet configuration at the two-year size: store calls, bytes across regions and the time
- * until a change is in force everywhere. Holds no state.
+ * Compares ways to spread the fleet configuration at the two-year size: store calls, bytes across regions and the
+ * time until a change is in force everywhere. Holds no state.
  */
 public final class ConfigPropagation {
     private static final long DEFAULT_SEED = 20261204;
--- a/benchmarks/src/main/java/io/radishspindle/bench/routing/OwnViewRouter.java
+++ b/benchmarks/src/main/java/io/radishspindle/bench/routing/OwnViewRouter.java
@@ -7,8 +7,8 @@
 import java.util.function.Supplier;
 
 /**
- * Baseline: each VM sees only its own requests, keeps one first-come first-served queue, and tries again after "busy".
- * Not thread-safe.
+ * Baseline: each VM sees only its own requests, keeps one first-come first-served queue, and tries again after
+ * "busy". Not thread-safe.
  */
 final class OwnViewRouter implements RequestRouter {
     private static final int MAX_QUEUED = 1_000;
--- a/demo-runner/src/main/java/io/radishspindle/demo/JobDriver.java
+++ b/demo-runner/src/main/java/io/radishspindle/demo/JobDriver.java
@@ -89,8 +89,8 @@
     }
 
     /**
-     * Looks for the job of a key that was submitted before; its id ends with the suffix that the answer names. If none
-     * is found, the submission is repeated, which the key makes safe.
+     * Looks for the job of a key that was submitted before; its id ends with the suffix that the answer names. If
+     * none is found, the submission is repeated, which the key makes safe.
      */
     private boolean findAccepted(Job job, long firstTriedAtMs, long submittedAtMs, String answer) {
         Matcher suffix = SUFFIX.matcher(answer);
--- a/library/src/main/java/io/radishspindle/config/ConfigCodec.java
+++ b/library/src/main/java/io/radishspindle/config/ConfigCodec.java
@@ -28,7 +28,7 @@
             FleetConfig config = MAPPER.readValue(document, FleetConfig.class);
             return Optional.ofNullable(config);
         } catch (IOException e) {
-            Logger.error("event=config_unreadable bytes={} reason=\"{}\"", document.length, e.getMessage());
+            Logger.error("event=config-unreadable bytes={} reason=\"{}\"", document.length, e.getMessage());
             return Optional.empty();
         }
     }
--- a/library/src/main/java/io/radishspindle/config/ConfigService.java
+++ b/library/src/main/java/io/radishspindle/config/ConfigService.java
@@ -199,7 +199,7 @@
         } else if (action instanceof StoreWentBack e) {
             metrics.counter("config.store-went-back").inc();
             Logger.error(
-                    "event=store_went_back store_revision={} known_revision={}", e.storeRevision(), e.knownRevision());
+                    "event=store-went-back store_revision={} known_revision={}", e.storeRevision(), e.knownRevision());
         }
     }
 
@@ -224,7 +224,7 @@
     }
 
     private void apply(FleetConfig config) {
-        Logger.info("event=config_applied revision={}", config.revision());
+        Logger.info("event=config-applied revision={}", config.revision());
         current = Optional.of(config);
         listeners.forEach(listener -> listener.accept(config));
     }
--- a/library/src/main/java/io/radishspindle/config/FleetConfig.java
+++ b/library/src/main/java/io/radishspindle/config/FleetConfig.java
@@ -101,7 +101,7 @@
         return all;
     }
 
-    /** The accepted change with this id; null-free alternative to searching the audit entries by hand. */
+    /** Whether the newest audit entries hold a change with this id. */
     boolean contains(String changeId) {
         return audit.stream().anyMatch(entry -> entry.changeId().equals(changeId));
     }
--- a/library/src/main/java/io/radishspindle/idempotency/StoreKeyedRequests.java
+++ b/library/src/main/java/io/radishspindle/idempotency/StoreKeyedRequests.java
@@ -123,7 +123,7 @@
             return;
         }
         Logger.warn(
-                "event=idempotency_given_up operation={} key={} claim={}",
+                "event=idempotency-given-up operation={} key={} claim={}",
                 operation.getClass().getSimpleName(),
                 operation.claim.recordKey(),
                 operation.claim.claimId());
--- a/library/src/main/java/io/radishspindle/membership/MembershipService.java
+++ b/library/src/main/java/io/radishspindle/membership/MembershipService.java
@@ -168,7 +168,7 @@
                 result.result()
                         .peek(listing -> handle(new ListingReceived(listing)))
                         .peekLeft(failure -> Logger.warn(
-                                "event=vm_list_unavailable peer={} reason=\"{}\"", failure.peer(), failure.message()));
+                                "event=vm-list-unavailable peer={} reason=\"{}\"", failure.peer(), failure.message()));
             }
             return Future.succeededFuture();
         });
@@ -194,7 +194,7 @@
             view = changed.view();
             listeners.forEach(listener -> listener.accept(changed.view()));
         } else if (action instanceof Resumed resumed) {
-            Logger.warn("event=resumed_after_pause paused_ms={}", resumed.pausedMs());
+            Logger.warn("event=resumed-after-pause paused_ms={}", resumed.pausedMs());
             metrics.counter("membership.pauses").inc();
             fetch();
         }
@@ -205,7 +205,7 @@
             boolean same = before.entryVms().stream()
                     .anyMatch(old -> old.id().equals(vm.id()) && old.liveness() == vm.liveness());
             if (!same) {
-                Logger.info("event=peer_liveness peer={} liveness={}", vm.id(), vm.liveness());
+                Logger.info("event=peer-liveness peer={} liveness={}", vm.id(), vm.liveness());
             }
         }
     }
--- a/library/src/main/java/io/radishspindle/ownership/DataCentreCore.java
+++ b/library/src/main/java/io/radishspindle/ownership/DataCentreCore.java
@@ -68,14 +68,14 @@
         GroupCore core = groups.get(group);
         Optional<Owner> owner = core == null ? Optional.empty() : core.serving();
         if (owner.isEmpty()) {
-            return Either.left(JobDesk.notOwner("group.job", group));
+            return Either.left(JobCoordinator.notOwner("group.job", group));
         }
         Optional<JobStatus> found = owner.get().status(jobId);
         if (found.isPresent()) {
             return Either.right(found.get());
         }
         boolean certain = owner.get().record().epoch() > afterEpoch;
-        return Either.left(certain ? notFound(jobId) : JobDesk.notOwner("group.job", group));
+        return Either.left(certain ? notFound(jobId) : JobCoordinator.notOwner("group.job", group));
     }
 
     public List<JobStatus> statuses(int limit) {
--- a/library/src/main/java/io/radishspindle/ownership/GroupCore.java
+++ b/library/src/main/java/io/radishspindle/ownership/GroupCore.java
@@ -19,7 +19,8 @@
 import org.tinylog.Logger;
 
 /**
- * One group as one entry VM sees it: nobody's, another's, in this VM's ownership or in its care. Not thread-safe.
+ * One group as one entry VM sees it: without an owner, owned by another VM or by this one, or with this VM as
+ * caretaker. Not thread-safe.
  *
  * <p>Invariants: the store is the only arbiter, so a VM becomes owner only by a write of the record that is known to
  * have applied; a VM is never owner and caretaker at once; an ended {@link Owner} is replaced by one of a higher
@@ -37,7 +38,7 @@
     private final String dataCentre;
     private final String recordKey;
     private final LongFunction<GroupPlacement> placements;
-    private final Joiners joiners;
+    private final JoiningWorkers joining;
     private final TakeoverPolicy takeovers;
     private final List<Parked> parked = new ArrayList<>();
     private List<WorkerInfo> assigned = List.of();
@@ -68,7 +69,7 @@
         this.group = dataCentre + "/" + name;
         this.recordKey = "group/" + group + "/owner";
         this.placements = placements;
-        this.joiners = new Joiners(fx, timing);
+        this.joining = new JoiningWorkers(fx, timing);
         this.takeovers = new TakeoverPolicy(fx, dataCentre, group);
     }
 
@@ -119,13 +120,13 @@
         Owner current = owner;
         boolean otherEpoch = changing || current == null || current.record().epoch() != epoch;
         if (epoch != 0 && otherEpoch) {
-            fx.answer(request, Either.left(JobDesk.notOwner("group.submit", group)));
+            fx.answer(request, Either.left(JobCoordinator.notOwner("group.submit", group)));
         } else if (changing && !fx.storeDown()) {
             parked.add(new Parked(request, job, fx.now() + PARKED_MS));
         } else if (current != null && current.isServing()) {
             current.submit(request, job);
         } else {
-            fx.answer(request, Either.left(JobDesk.notOwner("group.submit", group)));
+            fx.answer(request, Either.left(JobCoordinator.notOwner("group.submit", group)));
         }
     }
 
@@ -199,7 +200,7 @@
             if (current != null && ready) {
                 current.submit(each.request(), each.job());
             } else if (fx.now() > each.untilMs()) {
-                fx.answer(each.request(), Either.left(JobDesk.notOwner("group.submit", group)));
+                fx.answer(each.request(), Either.left(JobCoordinator.notOwner("group.submit", group)));
             } else {
                 parked.add(each);
             }
@@ -334,7 +335,7 @@
             return;
         }
         Set<String> removed = current.longLost();
-        List<WorkerInfo> added = joiners.answered(record, assigned);
+        List<WorkerInfo> added = joining.answered(record, assigned);
         boolean idle = current.isJournalIdle() && current.workers().allReadyExcept(removed);
         if ((removed.isEmpty() && added.isEmpty()) || !idle) {
             return;
--- a/library/src/main/java/io/radishspindle/ownership/GroupService.java
+++ b/library/src/main/java/io/radishspindle/ownership/GroupService.java
@@ -18,8 +18,8 @@
     /**
      * Accepts a job into a group that this VM owns. Completes after the journal write.
      *
-     * @param epoch the only epoch in which the job may be accepted, so that a later owner can tell for certain whether
-     *     it was
+     * @param epoch the only epoch in which the job may be accepted, so that a later owner can tell for certain
+     *     whether it was
      */
     Future<Either<Failure, JobStatus>> submit(String group, long epoch, JobSpec job);
 
@@ -27,9 +27,9 @@
     Future<Either<Failure, JobStatus>> cancel(String jobId, String actor);
 
     /**
-     * State of a job. {@code NOT_FOUND} means that this VM serves the group in an epoch above {@code afterEpoch} and its
-     * journal has no such job; since it has fenced the journals of all earlier epochs, the job was not and will not be
-     * accepted in them. {@code NO_OWNER} if this VM can't tell.
+     * State of a job. {@code NOT_FOUND} means that this VM serves the group in an epoch above {@code afterEpoch}
+     * and its journal has no such job; since it has fenced the journals of all earlier epochs, the job was not and
+     * will not be accepted in them. {@code NO_OWNER} if this VM can't tell.
      */
     Either<Failure, JobStatus> status(String group, String jobId, long afterEpoch);
 
--- a/library/src/main/java/io/radishspindle/ownership/GroupWorkers.java
+++ b/library/src/main/java/io/radishspindle/ownership/GroupWorkers.java
@@ -10,7 +10,7 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * The workers of a group in the hands of an owner: their links, the majorities that they form, and the confirmation
+ * The workers of a group as its owner sees them: their links, the majorities that they form, and the confirmation
  * of the epoch by the store. Not thread-safe.
  */
 final class GroupWorkers {
--- a/library/src/main/java/io/radishspindle/ownership/JobDesk.java
+++ b/library/src/main/java/io/radishspindle/ownership/JobCoordinator.java
@@ -22,12 +22,12 @@
 import org.tinylog.Logger;
 
 /**
- * Jobs of a group in the hands of its owner: connects submitters, journal and placement core. Not thread-safe.
+ * Jobs of a group at its owner: connects submitters, journal and placement core. Not thread-safe.
  *
  * <p>Invariants: placement learns of a job and of a cancellation only after they are durable; a worker may forget a
  * finished attempt only after its end is durable or needs no record.
  */
-final class JobDesk {
+final class JobCoordinator {
     /** Largest accepted job in bytes, far under the store's limit for a value. */
     private static final int MAX_JOB_BYTES = 64 * 1024;
 
@@ -55,7 +55,7 @@
     private boolean handling;
     private boolean closed;
 
-    JobDesk(Effects fx, String group, Journal journal, GroupPlacement placement, Commands commands) {
+    JobCoordinator(Effects fx, String group, Journal journal, GroupPlacement placement, Commands commands) {
         this.fx = fx;
         this.group = group;
         this.journal = journal;
--- a/library/src/main/java/io/radishspindle/ownership/Joiners.java
+++ b/library/src/main/java/io/radishspindle/ownership/JoiningWorkers.java
@@ -14,7 +14,7 @@
  * <p>A claim is sent, which extends no lease. Such a worker has no vote, and gets work only after a record that names
  * it is in force.
  */
-final class Joiners {
+final class JoiningWorkers {
     private static final long PROBE_MS = 5_000;
 
     private final Effects fx;
@@ -22,7 +22,7 @@
     private final Map<String, Long> nextProbeAtMs = new HashMap<>();
     private final Map<String, Long> answeredAtMs = new HashMap<>();
 
-    Joiners(Effects fx, OwnershipTiming timing) {
+    JoiningWorkers(Effects fx, OwnershipTiming timing) {
         this.fx = fx;
         this.timing = timing;
     }
--- a/library/src/main/java/io/radishspindle/ownership/Journal.java
+++ b/library/src/main/java/io/radishspindle/ownership/Journal.java
@@ -7,7 +7,7 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Journal of one group in the hands of its owner: group commit into a ring of segments, and snapshots. Not
+ * Journal of one group as its owner writes it: group commit into a ring of segments, and snapshots. Not
  * thread-safe.
  *
  * <p>Invariants: at most one write is under way; an entry is reported as durable only after the write that holds it
--- a/library/src/main/java/io/radishspindle/ownership/Owner.java
+++ b/library/src/main/java/io/radishspindle/ownership/Owner.java
@@ -27,7 +27,7 @@
  * has answered messages of this epoch that were sent less than a control lease ago; once that authority has been
  * gained and lost again, the object ends, and the VM must raise the epoch to own the group again.
  */
-final class Owner implements GroupWorkers.Listener, JobDesk.Commands {
+final class Owner implements GroupWorkers.Listener, JobCoordinator.Commands {
     /** Told that the object has ended. */
     interface Listener {
         void ended(Owner owner, End end);
@@ -53,7 +53,7 @@
     private Set<String> leavingByView = Set.of();
     private final ClaimReplies firstReplies = new ClaimReplies();
     private final Journal journal;
-    private final JobDesk desk;
+    private final JobCoordinator coordinator;
     private long majorityAtMs = Quorum.NEVER;
     private boolean serving;
     private boolean mayStart;
@@ -81,7 +81,7 @@
                 record.epoch(),
                 this::advance,
                 () -> end(End.SUPERSEDED, "journal has a later owner"));
-        desk = new JobDesk(fx, group, journal, placement, this);
+        coordinator = new JobCoordinator(fx, group, journal, placement, this);
     }
 
     static Owner create(
@@ -95,7 +95,7 @@
             Listener listener) {
         GroupPlacement placement = placements.apply(record.epoch() * 31 + group.hashCode());
         Owner owner = new Owner(fx, timing, group, record, confirmedAtMs, placement, listener);
-        owner.desk.feed(new PlacementEvent.PolicyChanged(policy));
+        owner.coordinator.feed(new PlacementEvent.PolicyChanged(policy));
         owner.journal.start();
         owner.tick();
         return owner;
@@ -144,7 +144,7 @@
 
     private void markLeaving(String workerId) {
         if (leaving.add(workerId)) {
-            desk.feed(new PlacementEvent.WorkerLeaving(workerId));
+            coordinator.feed(new PlacementEvent.WorkerLeaving(workerId));
         }
     }
 
@@ -160,7 +160,7 @@
             return;
         }
         journal.tick();
-        desk.tick();
+        coordinator.tick();
         if (ended) {
             return;
         }
@@ -168,7 +168,7 @@
         advance();
         if (serving) {
             updateMayStart();
-            desk.feed(new PlacementEvent.Tick());
+            coordinator.feed(new PlacementEvent.Tick());
         }
         workers.send(authorityUntil);
     }
@@ -181,23 +181,23 @@
     }
 
     void submit(long request, JobSpec job) {
-        desk.submit(request, job);
+        coordinator.submit(request, job);
     }
 
     void cancel(long request, String jobId) {
-        desk.cancel(request, jobId);
+        coordinator.cancel(request, jobId);
     }
 
     Optional<JobStatus> status(String jobId) {
-        return desk.status(jobId);
+        return coordinator.status(jobId);
     }
 
     List<JobStatus> statuses(int limit) {
-        return desk.statuses(limit);
+        return coordinator.statuses(limit);
     }
 
     void update(PlacementPolicy policy) {
-        desk.feed(new PlacementEvent.PolicyChanged(policy));
+        coordinator.feed(new PlacementEvent.PolicyChanged(policy));
     }
 
     GroupSummary summary() {
@@ -205,7 +205,7 @@
             Resources none = Resources.NONE;
             return new GroupSummary(group, record.epoch(), none, none, none, 0, false);
         }
-        GroupPlacement.Totals totals = desk.placement().totals();
+        GroupPlacement.Totals totals = coordinator.placement().totals();
         return new GroupSummary(
                 group,
                 record.epoch(),
@@ -230,7 +230,7 @@
         ended = true;
         workers.close();
         journal.close();
-        desk.close();
+        coordinator.close();
     }
 
     @Override
@@ -272,7 +272,7 @@
             return;
         }
         neverStarted.forEach(attempt ->
-                desk.feed(new PlacementEvent.StartRefused(attempt, link.worker.id(), "start did not arrive")));
+                coordinator.feed(new PlacementEvent.StartRefused(attempt, link.worker.id(), "start did not arrive")));
         introduce(link, reply);
     }
 
@@ -282,14 +282,14 @@
             return;
         }
         for (WorkerClient.Refused refused : reply.refused()) {
-            desk.feed(new PlacementEvent.StartRefused(refused.attempt(), link.worker.id(), refused.reason()));
+            coordinator.feed(new PlacementEvent.StartRefused(refused.attempt(), link.worker.id(), refused.reason()));
         }
         reportFinished(link, reply);
         for (WorkerClient.Running running : reply.running()) {
-            desk.feed(new PlacementEvent.UsageReported(running.attempt(), running.used()));
+            coordinator.feed(new PlacementEvent.UsageReported(running.attempt(), running.used()));
         }
         noteLeaving(link, reply);
-        desk.feed(new PlacementEvent.Tick());
+        coordinator.feed(new PlacementEvent.Tick());
     }
 
     @Override
@@ -309,7 +309,7 @@
         List<PlacementEvent.RunningTask> running = reply.running().stream()
                 .map(task -> new PlacementEvent.RunningTask(task.attempt(), task.reserved()))
                 .toList();
-        desk.feed(new PlacementEvent.WorkerClaimed(link.worker, running));
+        coordinator.feed(new PlacementEvent.WorkerClaimed(link.worker, running));
         noteLeaving(link, reply);
     }
 
@@ -320,12 +320,12 @@
                 continue;
             }
             if (reported.add(attempt)) {
-                desk.feed(
+                coordinator.feed(
                         new PlacementEvent.TaskEnded(attempt, link.worker.id(), finished.outcome(), finished.detail()));
             }
             boolean needsRecord =
                     finished.outcome() == TaskOutcome.SUCCEEDED || finished.outcome() == TaskOutcome.FAILED;
-            if (!needsRecord || desk.isSettled(attempt)) {
+            if (!needsRecord || coordinator.isSettled(attempt)) {
                 acknowledge(link.worker.id(), attempt);
             }
         }
@@ -355,8 +355,8 @@
         }
         serving = true;
         // Placement must know the epoch before it hears of attempts, or it takes them for those of a later owner.
-        desk.feed(new PlacementEvent.AuthorityChanged(false, record.epoch()));
-        desk.recover(all ? fx.now() : majorityAtMs + timing.takeoverOpenMs());
+        coordinator.feed(new PlacementEvent.AuthorityChanged(false, record.epoch()));
+        coordinator.recover(all ? fx.now() : majorityAtMs + timing.takeoverOpenMs());
         firstReplies.withoutReplaced().forEach((id, reply) -> {
             WorkerLink link = workers.find(id);
             if (link != null) {
@@ -365,7 +365,7 @@
         });
         Logger.info("event=group-served group={} epoch={} all-workers={}", group, record.epoch(), all);
         updateMayStart();
-        desk.feed(new PlacementEvent.Tick());
+        coordinator.feed(new PlacementEvent.Tick());
     }
 
     private void updateMayStart() {
@@ -373,7 +373,7 @@
         boolean next = hasAuthority() && journal.unjournalled() <= bound;
         if (next != mayStart) {
             mayStart = next;
-            desk.feed(new PlacementEvent.AuthorityChanged(next, record.epoch()));
+            coordinator.feed(new PlacementEvent.AuthorityChanged(next, record.epoch()));
         }
     }
 
@@ -386,12 +386,12 @@
                 return;
             }
             if (unreachable.add(id)) {
-                desk.feed(new PlacementEvent.WorkerUnreachable(id));
+                coordinator.feed(new PlacementEvent.WorkerUnreachable(id));
             }
             if (link.isLost() && lost.add(id)) {
                 fx.metrics().workerLost();
                 Logger.warn("event=worker-lost group={} worker={}", group, id);
-                desk.feed(new PlacementEvent.WorkerLost(id));
+                coordinator.feed(new PlacementEvent.WorkerLost(id));
             }
         });
     }
--- a/library/src/main/java/io/radishspindle/protocol/PeerConnection.java
+++ b/library/src/main/java/io/radishspindle/protocol/PeerConnection.java
@@ -123,7 +123,7 @@
     }
 
     private void onProtocolError(ProtocolException e) {
-        Logger.warn("event=protocol_error peer={} address={} reason=\"{}\"", remoteVm, address(), e.getMessage());
+        Logger.warn("event=protocol-error peer={} address={} reason=\"{}\"", remoteVm, address(), e.getMessage());
         refuse(ErrorCode.PROTOCOL_ERROR, String.valueOf(e.getMessage()));
     }
 
--- a/library/src/main/java/io/radishspindle/protocol/PeerLink.java
+++ b/library/src/main/java/io/radishspindle/protocol/PeerLink.java
@@ -164,7 +164,7 @@
         }
         state = State.READY;
         backOffMs = FIRST_BACK_OFF_MS;
-        Logger.info("event=peer_connected peer={} address={}", peer, ready.address());
+        Logger.info("event=peer-connected peer={} address={}", peer, ready.address());
         while (!waiting.isEmpty()) {
             Waiting next = waiting.remove();
             if (next.id() == 0 || outstanding.containsKey(next.id())) {
@@ -185,7 +185,7 @@
         connection = null;
         dials++;
         nextDialAtMs = clock.nowMs() + backOffMs / 2 + jitter.applyAsLong(backOffMs / 2);
-        Logger.info("event=peer_disconnected peer={} reason=\"{}\" back_off_ms={}", peer, reason, backOffMs);
+        Logger.info("event=peer-disconnected peer={} reason=\"{}\" back_off_ms={}", peer, reason, backOffMs);
         backOffMs = Math.min(2 * backOffMs, MAX_BACK_OFF_MS);
         waiting.clear();
         for (long id : List.copyOf(outstanding.keySet())) {
--- a/library/src/main/java/io/radishspindle/protocol/PeerListener.java
+++ b/library/src/main/java/io/radishspindle/protocol/PeerListener.java
@@ -89,7 +89,7 @@
     @Override
     public void onClosed(PeerConnection connection, String reason) {
         if (unauthenticated.remove(connection)) {
-            Logger.warn("event=peer_rejected address={} reason=\"{}\"", connection.address(), reason);
+            Logger.warn("event=peer-rejected address={} reason=\"{}\"", connection.address(), reason);
         }
         byVm.remove(connection.remoteVm(), connection);
         inProgress.remove(connection);
@@ -137,7 +137,7 @@
     }
 
     private Failure crashed(@Nullable Throwable e) {
-        Logger.error(e, "event=handler_failed");
+        Logger.error(e, "event=handler-failed");
         return new Failure(ErrorCode.INTERNAL, "peer.handle", localVm, "handler failed: " + e, false, 0);
     }
 
--- a/library/src/main/java/io/radishspindle/routing/RequestService.java
+++ b/library/src/main/java/io/radishspindle/routing/RequestService.java
@@ -108,7 +108,7 @@
     /** Refuses new requests; completes when all requests in flight have been answered. */
     public Future<Void> drain() {
         draining = true;
-        Logger.info("event=routing_drain_started in_flight={}", inFlight.get());
+        Logger.info("event=routing-drain-started in_flight={}", inFlight.get());
         context.runOnContext(v -> {
             runtime.drain();
             completeDrain();
@@ -238,7 +238,7 @@
 
     private void completeDrain() {
         if (draining && inFlight.get() == 0 && idle.tryComplete()) {
-            Logger.info("event=routing_drain_finished");
+            Logger.info("event=routing-drain-finished");
         }
     }
 
--- a/library/src/main/java/io/radishspindle/routing/RoutingRuntime.java
+++ b/library/src/main/java/io/radishspindle/routing/RoutingRuntime.java
@@ -161,12 +161,12 @@
         loads = core.loads(clock.nowMs());
         List<String> leaving = core.leavingEndpoints();
         if (!leaving.equals(leavingEndpoints)) {
-            Logger.info("event=endpoints_leaving endpoints={}", leaving);
+            Logger.info("event=endpoints-leaving endpoints={}", leaving);
         }
         leavingEndpoints = leaving;
         long total = core.stats().ejections();
         if (total != ejections) {
-            Logger.warn("event=executors_ejected total={}", total);
+            Logger.warn("event=executors-ejected total={}", total);
         }
         ejections = total;
     }
--- a/soak-runner/src/main/java/io/radishspindle/soak/FakeWorker.java
+++ b/soak-runner/src/main/java/io/radishspindle/soak/FakeWorker.java
@@ -20,9 +20,9 @@
 import java.util.function.Consumer;
 
 /**
- * A worker by the rules of docs/design.md, section 3, without admission control: the owner's accounting alone must keep
- * it from being overfull. Not thread-safe. A worker that restarted refuses everything for {@link #QUIET_MS}, and terms
- * of epochs that it does not know.
+ * A worker by the rules of docs/design.md, section 3, without admission control: the owner's accounting alone must
+ * keep it from being overfull. Not thread-safe. A worker that restarted refuses everything for {@link #QUIET_MS},
+ * and terms of epochs that it does not know.
  */
 final class FakeWorker extends Node {
     static final long QUIET_MS = 5_000;
--- a/soak-runner/src/main/java/io/radishspindle/soak/FirstFitPlacement.java
+++ b/soak-runner/src/main/java/io/radishspindle/soak/FirstFitPlacement.java
@@ -23,8 +23,8 @@
 import java.util.TreeMap;
 
 /**
- * The simplest placement that obeys the contract of {@link GroupPlacement}: first come, first fit. Not thread-safe. It
- * retries failed tasks without bound, so that every accepted job must finish.
+ * The simplest placement that obeys the contract of {@link GroupPlacement}: first come, first fit. Not thread-safe.
+ * It retries failed tasks without bound, so that every accepted job must finish.
  */
 final class FirstFitPlacement implements GroupPlacement {
     private static final class Job {
--- a/soak-runner/src/main/java/io/radishspindle/soak/Simulation.java
+++ b/soak-runner/src/main/java/io/radishspindle/soak/Simulation.java
@@ -8,8 +8,8 @@
 import org.apache.commons.rng.simple.RandomSource;
 
 /**
- * Virtual time, seeded randomness and a log of the last events. Not thread-safe. Events of the same millisecond run in
- * the order in which they were scheduled, so that a seed always gives the same run.
+ * Virtual time, seeded randomness and a log of the last events. Not thread-safe. Events of the same millisecond run
+ * in the order in which they were scheduled, so that a seed always gives the same run.
  */
 final class Simulation {
     private static final int KEPT_LINES = 60;
