Acknowledge an attempt only after its worker has reported the end

When a worker was given up as lost, the placement core ended its attempts with LEASE_EXPIRED, and the owner acknowledged them. The message that found the worker again carried the acknowledgement, so the worker forgot a success that it had not yet reported, and the task ran again.

Change: Owner.acknowledge passes on only attempts that the worker reported.

--- a/library/src/main/java/io/radishspindle/ownership/Owner.java
+++ b/library/src/main/java/io/radishspindle/ownership/Owner.java
@@ -251,9 +251,16 @@
         }
     }
 
+    /**
+     * Tells the worker that it may forget an attempt, but only if it has reported its end. An attempt that was
+     * given up with a lost worker may have succeeded there; a worker that forgot it could not say so when it
+     * returns.
+     */
     @Override
     public void acknowledge(String workerId, TaskAttempt attempt) {
-        reported.remove(attempt);
+        if (!reported.remove(attempt)) {
+            return;
+        }
         WorkerLink link = workers.find(workerId);
         if (link != null) {
             link.acknowledge(attempt);
