--- a/soak-runner/src/test/java/io/radishspindle/soak/SoakRunTest.java
+++ b/soak-runner/src/test/java/io/radishspindle/soak/SoakRunTest.java
@@ -15,8 +15,8 @@
     private static final long FAULT_MS = 360_000;
 
     /**
-     * Seeds 19, 56 and 68 found tasks in two places after a takeover that waited for its majority; 212, 247 and 259 found
-     * a rerun of a task whose success a lost worker had been told to forget before it could report it.
+     * Seeds 19, 56 and 68 found tasks in two places after a takeover that waited for its majority; 212, 247 and 259
+     * found a rerun of a task whose success a lost worker had been told to forget before it could report it.
      */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 12, 16, 19, 56, 68, 212, 247, 259})
