--- a/library/src/main/java/io/radishspindle/platform/http/HttpCaller.java
+++ b/library/src/main/java/io/radishspindle/platform/http/HttpCaller.java
@@ -24,7 +24,7 @@
  * <p>Invariants: the returned futures never fail. A connection carries one request at a time. A connection whose
  * request is given up is closed, so that a late answer can't reach another request. Nothing is retried.
  */
-final class HttpCaller {
+public final class HttpCaller {
     private static final int CONNECT_TIMEOUT_MS = 2_000;
 
     /** Shorter than the idle timeout of common servers, so that a request rarely meets a connection being closed. */
@@ -33,20 +33,21 @@
     private static final int MAX_HEADER_BYTES = 32 * 1024;
 
     /** A complete answer. */
-    record Reply(int status, MultiMap headers, Buffer body) {}
+    public record Reply(int status, MultiMap headers, Buffer body) {}
 
     /**
      * An exchange without a complete answer.
      *
      * @param sent whether a byte of the request may have been sent
      */
-    record Broken(boolean sent, String reason) {}
+    public record Broken(boolean sent, String reason) {}
 
     private final Vertx vertx;
     private final HttpClient client;
     private final int maxBodyBytes;
 
-    HttpCaller(Vertx vertx, int connectionsPerPeer, int maxBodyBytes) {
+    /** Creates a caller; nothing is connected yet. */
+    public HttpCaller(Vertx vertx, int connectionsPerPeer, int maxBodyBytes) {
         HttpClientOptions options = new HttpClientOptions()
                 .setConnectTimeout(CONNECT_TIMEOUT_MS)
                 .setKeepAlive(true)
@@ -59,7 +60,7 @@
     }
 
     /** Sends a request; {@code timeoutMs} covers everything up to the last byte of the answer. */
-    Future<Either<Broken, Reply>> call(RequestOptions options, @Nullable Buffer body, long timeoutMs) {
+    public Future<Either<Broken, Reply>> call(RequestOptions options, @Nullable Buffer body, long timeoutMs) {
         Exchange exchange = new Exchange(body);
         Context context = Vertx.currentContext();
         if (context == null) {
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/pool/core/AdvicePlanner.java
@@ -0,0 +1,73 @@
+package io.radishspindle.pool.core;
+
+import io.radishspindle.pool.core.StepState.Ticket;
+import io.radishspindle.pool.model.AdvicePolicy;
+import io.radishspindle.pool.port.AdviceService;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Decides for which step advice is asked next. Which workers are approved never changes, but tickets expire: a step
+ * that waits for room has its tickets renewed for approved workers only. Stateless; thread-safe.
+ */
+final class AdvicePlanner {
+    /** Tickets are renewed for this many workers per waiting task, so that calls stay short. */
+    private static final int CANDIDATES_PER_TASK = 2;
+
+    private static final int MIN_CANDIDATES = 3;
+
+    private AdvicePlanner() {}
+
+    static Optional<PoolAction.Advise> plan(
+            StepState step, Collection<WorkerState> workers, Placer placer, long nowMs) {
+        AdvicePolicy policy = step.job.job.advice();
+        if (policy == null || step.adviceInFlight || step.waitingTasks() == 0) {
+            return Optional.empty();
+        }
+        List<String> named = unasked(step, workers, placer);
+        if (named.isEmpty()) {
+            named = expiring(step, workers, placer, nowMs + policy.callMs(MIN_CANDIDATES));
+        }
+        if (named.isEmpty()) {
+            return Optional.empty();
+        }
+        step.adviceInFlight = true;
+        return Optional.of(new PoolAction.Advise(step.name(), List.copyOf(named), policy.callMs(named.size())));
+    }
+
+    private static List<String> unasked(StepState step, Collection<WorkerState> workers, Placer placer) {
+        List<String> named = new ArrayList<>();
+        for (WorkerState worker : workers) {
+            if (named.size() < AdviceService.MAX_WORKERS
+                    && worker.listed
+                    && !step.askedWorkers.contains(worker.id())
+                    && placer.mayRun(step, worker)) {
+                named.add(worker.id());
+            }
+        }
+        return named;
+    }
+
+    private static List<String> expiring(StepState step, Collection<WorkerState> workers, Placer placer, long untilMs) {
+        List<WorkerState> approved = new ArrayList<>();
+        int fresh = 0;
+        for (WorkerState worker : workers) {
+            Ticket ticket = step.tickets.get(worker.id());
+            if (ticket == null || !placer.mayRun(step, worker)) {
+                continue;
+            }
+            if (ticket.validUntilMs() > untilMs && ticket.bootWallMs() == worker.bootWallMs) {
+                fresh++;
+            } else {
+                approved.add(worker);
+            }
+        }
+        long wanted = Math.max(MIN_CANDIDATES, CANDIDATES_PER_TASK * step.waitingTasks()) - fresh;
+        approved.sort((a, b) -> Long.compare(
+                placer.futureFree(b).milliCores() + 1000L * placer.futureFree(b).accelerators(),
+                placer.futureFree(a).milliCores() + 1000L * placer.futureFree(a).accelerators()));
+        return approved.stream().limit(Math.max(0, wanted)).map(WorkerState::id).toList();
+    }
+}
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/pool/core/DurationStats.java
@@ -0,0 +1,31 @@
+package io.radishspindle.pool.core;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Learns how long tasks of an image take against their estimate, so that a slow worker can be told from a wrong
+ * estimate. Bounded; belongs to its scheduler; not thread-safe.
+ */
+final class DurationStats {
+    private static final double WEIGHT = 0.15;
+    private static final int MAX_IMAGES = 500;
+
+    private final Map<String, Double> ratioByImage = new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Double> eldest) {
+            return size() > MAX_IMAGES;
+        }
+    };
+
+    /** Duration against what is usual for the image; 1 is usual, 2 twice as long. */
+    double relative(StepState step, long tookMs) {
+        double ratio = Math.max(1, tookMs) / (double) Math.max(1, step.spec.estimateMs());
+        String image = step.spec.image().isEmpty() ? step.job.job.queue() : step.spec.image();
+        double usual = ratioByImage.getOrDefault(image, ratio);
+        ratioByImage.put(image, usual + WEIGHT * (ratio - usual));
+        return ratio / Math.max(0.01, usual);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/pool/core/JobState.java
@@ -0,0 +1,153 @@
+package io.radishspindle.pool.core;
+
+import io.radishspindle.pool.model.JobPhase;
+import io.radishspindle.pool.model.JobProgress;
+import io.radishspindle.pool.model.JobProgress.StepProgress;
+import io.radishspindle.pool.model.PoolJob;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+
+/** A job that its pool's owner knows. Belongs to its scheduler; not thread-safe. */
+final class JobState {
+    /** Workers that one call for advice names in the objective of a job. */
+    private static final int ADVISED_WORKERS = 30;
+    /** Beyond this multiple of the objective a job has no value left and runs last. */
+    private static final int WORTHLESS_FACTOR = 3;
+
+    final PoolJob job;
+    final List<StepState> steps = new ArrayList<>();
+    /** Known before this owner took over, so that an earlier owner may have started its tasks. */
+    final boolean inherited;
+
+    JobPhase phase = JobPhase.QUEUED;
+    /** Phase that may be told to callers: final phases only once they are durable. */
+    JobPhase durablePhase = JobPhase.QUEUED;
+
+    long endedWallMs;
+    private final long chainMs;
+
+    JobState(PoolJob job, boolean inherited) {
+        this.job = job;
+        this.inherited = inherited;
+        for (int k = 0; k < job.occurrences(); k++) {
+            for (int i = 0; i < job.steps().size(); i++) {
+                steps.add(new StepState(this, k, i, job.steps().get(i)));
+            }
+        }
+        chainMs = chainMs();
+    }
+
+    StepState step(int occurrence, int index) {
+        return steps.get(occurrence * job.steps().size() + index);
+    }
+
+    boolean isOpen() {
+        return !phase.isFinal();
+    }
+
+    boolean isReleased(StepState step, long wallMs) {
+        if (job.firstStartWallMs() > 0 && wallMs < dueWallMs(step.occurrence)) {
+            return false;
+        }
+        for (int earlier : step.spec.after()) {
+            if (!step(step.occurrence, earlier).isDone()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private long dueWallMs(int occurrence) {
+        return job.firstStartWallMs() > 0 ? job.firstStartWallMs() + occurrence * job.periodMs() : job.acceptedWallMs();
+    }
+
+    /** Milliseconds left until the objective is missed if everything that remains runs as estimated. */
+    long slackMs(StepState step, long wallMs) {
+        long objectiveMs = (long) (job.slowdownFactor() * chainMs) + job.objectiveMs();
+        return dueWallMs(step.occurrence) + objectiveMs - wallMs - remainingChainMs(step);
+    }
+
+    /** 0 while the objective can be met, 1 when late, 2 when no value is left. */
+    int lateness(StepState step, long wallMs) {
+        long objectiveMs = (long) (job.slowdownFactor() * chainMs) + job.objectiveMs();
+        long ageMs = wallMs - dueWallMs(step.occurrence);
+        if (ageMs + remainingChainMs(step) > WORTHLESS_FACTOR * objectiveMs) {
+            return 2;
+        }
+        return ageMs > objectiveMs ? 1 : 0;
+    }
+
+    private long remainingChainMs(StepState step) {
+        long longest = 0;
+        for (int i = step.index + 1; i < job.steps().size(); i++) {
+            if (job.steps().get(i).after().contains(step.index)) {
+                longest = Math.max(longest, remainingChainMs(step(step.occurrence, i)));
+            }
+        }
+        return longest + stepMs(step.index);
+    }
+
+    private long chainMs() {
+        long[] ends = new long[job.steps().size()];
+        long longest = 0;
+        for (int i = 0; i < ends.length; i++) {
+            long start = 0;
+            for (int earlier : job.steps().get(i).after()) {
+                start = Math.max(start, ends[earlier]);
+            }
+            ends[i] = start + stepMs(i);
+            longest = Math.max(longest, ends[i]);
+        }
+        return longest;
+    }
+
+    private long stepMs(int index) {
+        long adviceMs = job.advice() == null ? 0 : job.advice().callMs(ADVISED_WORKERS);
+        return job.steps().get(index).estimateMs() + adviceMs;
+    }
+
+    /** What must be written so that another owner can continue. */
+    JobProgress progress() {
+        List<StepProgress> list = new ArrayList<>();
+        for (StepState step : steps) {
+            BitSet done = new BitSet();
+            List<Integer> failures = new ArrayList<>();
+            for (TaskState task : step.tasks) {
+                if (task.done) {
+                    done.set(task.name.index());
+                }
+                if (task.failures > 0 && !step.spec.lasting()) {
+                    failures.add(task.name.index());
+                    failures.add(task.failures);
+                }
+            }
+            if (step.highestAttempt > 0) {
+                int[] pairs = failures.stream().mapToInt(Integer::intValue).toArray();
+                list.add(new StepProgress(step.occurrence, step.index, done.toLongArray(), step.highestAttempt, pairs));
+            }
+        }
+        return new JobProgress(phase, endedWallMs, list);
+    }
+
+    /** Takes over what an earlier owner has written. */
+    void restore(JobProgress progress) {
+        phase = progress.phase();
+        durablePhase = progress.phase();
+        endedWallMs = progress.endedWallMs();
+        for (StepProgress saved : progress.steps()) {
+            StepState step = step(saved.occurrence(), saved.step());
+            step.highestAttempt = saved.highestAttempt();
+            step.tasks.forEach(task -> task.attempts = saved.highestAttempt() + PoolTiming.ATTEMPT_GAP);
+            BitSet.valueOf(saved.done()).stream().forEach(index -> {
+                step.tasks.get(index).done = true;
+                step.doneTasks++;
+            });
+            for (int i = 0; i + 1 < saved.failures().length; i += 2) {
+                TaskState task = step.tasks.get(saved.failures()[i]);
+                task.failures = saved.failures()[i + 1];
+                step.gangFailures = Math.max(step.gangFailures, task.failures);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
@@ -0,0 +1,389 @@
+package io.radishspindle.pool.core;
+
+import io.radishspindle.pool.core.StepState.Ticket;
+import io.radishspindle.pool.model.JobPhase;
+import io.radishspindle.pool.model.JobProgress;
+import io.radishspindle.pool.model.PoolJob;
+import io.radishspindle.pool.model.Run;
+import io.radishspindle.pool.model.TaskName;
+import io.radishspindle.pool.model.WorkerEntry;
+import io.radishspindle.pool.model.WorkerReport;
+import io.radishspindle.pool.port.AdviceService.Advice;
+import io.radishspindle.pool.port.WorkerControl.Answer;
+import io.radishspindle.pool.port.WorkerControl.HoldOrder;
+import io.radishspindle.pool.port.WorkerControl.StartOrder;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Schedules the jobs of one pool for the owner of the pool. Deterministic: all times are passed in. Not thread-safe;
+ * belongs to the event loop of the owner.
+ *
+ * <p>Invariants: a task has at most one run that occupies or may occupy a worker; the reservations on a worker never
+ * exceed its capacity; an end is acknowledged only after the progress that it caused is durable; a job is reported as
+ * ended only after that is durable.
+ */
+public final class PoolScheduler {
+    private final Map<String, JobState> jobs = new LinkedHashMap<>();
+    private final Map<String, JobState> open = new LinkedHashMap<>();
+    private final Map<String, WorkerState> workers = new LinkedHashMap<>();
+    private final Set<JobState> dirty = new LinkedHashSet<>();
+    private final List<PoolAction> actions = new ArrayList<>();
+    private final RunEvents events;
+    private long recoveryEndsMs = Long.MIN_VALUE;
+
+    /** Creates the scheduler of a pool without jobs and workers. */
+    public PoolScheduler() {
+        events = new RunEvents(open, dirty, actions);
+    }
+
+    /** Progress to be written, with the ends that may be acknowledged once it is. */
+    public record Batch(Map<String, JobProgress> progress, Map<String, Long> sequences) {}
+
+    /** Takes over a job that an earlier owner may have started. */
+    public void load(PoolJob job, @Nullable JobProgress progress, boolean cancelled, long wallMs) {
+        JobState state = new JobState(job, true);
+        if (progress != null) {
+            state.restore(progress);
+        }
+        jobs.put(job.id(), state);
+        if (state.isOpen()) {
+            open.put(job.id(), state);
+        }
+        if (cancelled) {
+            cancel(job.id(), wallMs);
+        }
+    }
+
+    /**
+     * Starts the recovery after a claim: tasks of loaded jobs wait until every listed worker has told what it runs,
+     * or until the leases that the previous owner granted have surely ended.
+     */
+    public void beginRecovery(long nowMs) {
+        recoveryEndsMs = nowMs + (long) ((PoolTiming.LEASE_MS + PoolTiming.SILENT_MS) / PoolTiming.SLOWEST_CLOCK);
+    }
+
+    /** Adds a new job; false if it is known already. */
+    public boolean submit(PoolJob job) {
+        if (jobs.containsKey(job.id())) {
+            return false;
+        }
+        JobState state = new JobState(job, false);
+        jobs.put(job.id(), state);
+        open.put(job.id(), state);
+        return true;
+    }
+
+    /** Cancels a job whose cancellation is durable; false if it is unknown or has ended. */
+    public boolean cancel(String jobId, long wallMs) {
+        JobState job = jobs.get(jobId);
+        if (job == null || !job.isOpen()) {
+            return false;
+        }
+        events.endJob(job, JobPhase.CANCELLED, wallMs, "cancelled by the caller");
+        job.durablePhase = JobPhase.CANCELLED;
+        return true;
+    }
+
+    /** Replaces what is known of a worker's registration. */
+    public void workerListed(WorkerEntry entry, long nowMs) {
+        WorkerState worker = workers.get(entry.id());
+        if (worker == null) {
+            workers.put(entry.id(), new WorkerState(entry));
+            return;
+        }
+        if (entry.draining() && !worker.entry.draining()) {
+            worker.drainingSinceMs = nowMs;
+        }
+        worker.entry = entry;
+        worker.listed = true;
+    }
+
+    /** The registration is gone; the worker gets no more work, and its runs end with their leases. */
+    public void workerUnlisted(String workerId) {
+        WorkerState worker = workers.get(workerId);
+        if (worker != null) {
+            worker.listed = false;
+        }
+    }
+
+    /** Ids of all workers that are listed or still occupied. */
+    public List<String> workerIds() {
+        return List.copyOf(workers.keySet());
+    }
+
+    public Optional<WorkerEntry> worker(String workerId) {
+        return Optional.ofNullable(workers.get(workerId)).map(worker -> worker.entry);
+    }
+
+    /** Whether more than half of the listed workers have answered lately; without them another owner may exist. */
+    public boolean hasQuorum(long nowMs) {
+        long listed = 0;
+        long answering = 0;
+        for (WorkerState worker : workers.values()) {
+            if (worker.listed) {
+                listed++;
+                if (worker.answered && nowMs - worker.lastAnswerMs < PoolTiming.SILENT_MS) {
+                    answering++;
+                }
+            }
+        }
+        return 2 * answering > listed;
+    }
+
+    /** The next hold for a worker. A worker without runs is only watched. */
+    public HoldOrder holdOrder(String workerId, long nowMs, long fencingToken) {
+        WorkerState worker = workers.get(workerId);
+        if (worker == null || !worker.answered) {
+            return new HoldOrder(0, fencingToken, 0, 0);
+        }
+        boolean renew = !worker.runs.isEmpty() && hasQuorum(nowMs);
+        long leaseEnd = renew ? worker.grantLease(nowMs) : 0;
+        boolean mayWait = worker.seenSequence == worker.durableSequence && !worker.lastHoldFailed;
+        return new HoldOrder(leaseEnd, fencingToken, worker.durableSequence, mayWait ? PoolTiming.HOLD_WAIT_MS : 0);
+    }
+
+    /** Whether ends of the worker wait to become durable, so that a waiting hold would return at once. */
+    public boolean awaitsDurability(String workerId) {
+        WorkerState worker = workers.get(workerId);
+        return worker != null && worker.seenSequence > worker.durableSequence;
+    }
+
+    /**
+     * Takes over the lists of a worker.
+     *
+     * @param requestedAtMs when the hold was sent; runs that were settled later may be absent from the lists
+     */
+    public void holdAnswered(String workerId, long requestedAtMs, WorkerReport report, long nowMs, long wallMs) {
+        WorkerState worker = workers.get(workerId);
+        if (worker != null) {
+            events.reported(worker, requestedAtMs, report, nowMs, wallMs);
+        }
+    }
+
+    /** A hold got no answer or was turned down. */
+    public void holdFailed(String workerId) {
+        WorkerState worker = workers.get(workerId);
+        if (worker != null) {
+            worker.lastHoldFailed = true;
+        }
+    }
+
+    /** The answer to a start; null if there was none and the start may still be carried out. */
+    public void startAnswered(String workerId, Run run, @Nullable Answer answer, long nowMs) {
+        WorkerState worker = workers.get(workerId);
+        RunState state = worker == null ? null : worker.runs.get(run);
+        if (state != null) {
+            events.startAnswered(state, answer, nowMs);
+        }
+    }
+
+    /** The answer to a stop; null if there was none. */
+    public void stopAnswered(String workerId, Run run, @Nullable Answer answer, long nowMs) {
+        WorkerState worker = workers.get(workerId);
+        RunState state = worker == null ? null : worker.runs.get(run);
+        if (state != null) {
+            events.stopAnswered(state, answer, nowMs);
+        }
+    }
+
+    /**
+     * Takes over advice; null if the call failed.
+     *
+     * @param asked the workers that were named in the call
+     */
+    public void advised(String stepName, List<String> asked, @Nullable Advice advice, long nowMs) {
+        TaskName.parse(stepName + ".0").ifPresent(name -> {
+            JobState job = open.get(name.jobId());
+            if (job == null) {
+                return;
+            }
+            StepState step = job.step(name.occurrence(), name.step());
+            step.adviceInFlight = false;
+            if (advice == null) {
+                return;
+            }
+            step.askedWorkers.addAll(asked);
+            long untilMs = nowMs + advice.validMs() - PoolTiming.TICKET_MARGIN_MS;
+            for (String id : asked) {
+                WorkerState worker = workers.get(id);
+                String ticket = advice.tickets().get(id);
+                if (worker != null && ticket != null) {
+                    step.tickets.put(id, new Ticket(ticket, untilMs, worker.bootWallMs));
+                }
+            }
+        });
+    }
+
+    /**
+     * One scheduling pass.
+     *
+     * @param idleAdviceChannels calls for advice that can be made at once
+     */
+    public List<PoolAction> schedule(long nowMs, long wallMs, int idleAdviceChannels) {
+        expireLeases(nowMs, wallMs);
+        events.review(workers.values(), nowMs);
+        if (hasQuorum(nowMs)) {
+            new SchedulingPass(workers.values(), actions, nowMs, idleAdviceChannels)
+                    .run(Ranking.rank(readySteps(nowMs, wallMs), wallMs), dirty);
+        }
+        List<PoolAction> result = List.copyOf(actions);
+        actions.clear();
+        return result;
+    }
+
+    /** Runs of silent workers end when no lease can be left. */
+    private void expireLeases(long nowMs, long wallMs) {
+        for (WorkerState worker : List.copyOf(workers.values())) {
+            boolean silent = !worker.answered || nowMs - worker.lastAnswerMs > PoolTiming.SILENT_MS;
+            if (silent && nowMs > worker.leaseBoundMs) {
+                events.leaseEnded(worker, nowMs, wallMs);
+                if (!worker.listed) {
+                    workers.remove(worker.id());
+                }
+            }
+        }
+    }
+
+    private List<StepState> readySteps(long nowMs, long wallMs) {
+        boolean recovering = isRecovering(nowMs);
+        List<StepState> ready = new ArrayList<>();
+        for (JobState job : open.values()) {
+            if (recovering && job.inherited) {
+                continue;
+            }
+            for (StepState step : job.steps) {
+                if (!step.isDone() && job.isReleased(step, wallMs) && step.waitingTasks() > 0) {
+                    if (step.readySinceMs < 0) {
+                        step.readySinceMs = nowMs;
+                    }
+                    ready.add(step);
+                }
+            }
+        }
+        return ready;
+    }
+
+    /** Whether tasks of loaded jobs still wait for what workers run; see {@link #beginRecovery}. */
+    public boolean isRecovering(long nowMs) {
+        if (nowMs >= recoveryEndsMs) {
+            return false;
+        }
+        boolean complete = workers.values().stream().filter(w -> w.listed).allMatch(w -> w.answered);
+        if (complete && !workers.isEmpty()) {
+            recoveryEndsMs = nowMs;
+        }
+        return nowMs < recoveryEndsMs;
+    }
+
+    /** Phase of a job that may be told to callers; empty if the job is unknown. */
+    public Optional<JobPhase> phase(String jobId) {
+        JobState job = jobs.get(jobId);
+        if (job == null) {
+            return Optional.empty();
+        }
+        return Optional.of(job.phase.isFinal() ? job.durablePhase : job.phase);
+    }
+
+    /** Number of jobs of a queue of which no task has started. */
+    public int pending(String queue) {
+        int count = 0;
+        for (JobState job : open.values()) {
+            if (job.phase == JobPhase.QUEUED && job.job.queue().equals(queue)) {
+                count++;
+            }
+        }
+        return count;
+    }
+
+    /** Number of jobs that have not ended. */
+    public int openJobs() {
+        return open.size();
+    }
+
+    /** Whether progress waits to be written. */
+    public boolean hasDirty() {
+        return !dirty.isEmpty() || workers.values().stream().anyMatch(w -> w.seenSequence > w.durableSequence);
+    }
+
+    /** Whether the end of a job waits to be written, which callers wait for. */
+    public boolean hasDirtyEnds() {
+        return dirty.stream().anyMatch(job -> job.phase.isFinal());
+    }
+
+    /** Takes at most {@code limit} jobs whose progress has to be written; the rest stays for the next batch. */
+    public Batch takeDirty(int limit) {
+        Map<String, JobProgress> progress = new LinkedHashMap<>();
+        List<JobState> taken = new ArrayList<>();
+        dirty.stream().filter(job -> job.phase.isFinal()).limit(limit).forEach(taken::add);
+        dirty.stream()
+                .filter(job -> !job.phase.isFinal())
+                .limit(limit - taken.size())
+                .forEach(taken::add);
+        taken.forEach(job -> progress.put(job.job.id(), job.progress()));
+        taken.forEach(dirty::remove);
+        Map<String, Long> sequences = new HashMap<>();
+        if (dirty.isEmpty()) {
+            workers.forEach((id, worker) -> sequences.put(id, worker.seenSequence));
+        }
+        return new Batch(progress, sequences);
+    }
+
+    /** The batch has become durable. */
+    public void written(Batch batch, Map<String, Long> bootsAtTake) {
+        batch.progress().forEach((id, progress) -> {
+            JobState job = jobs.get(id);
+            if (job != null && progress.phase().isFinal()) {
+                job.durablePhase = progress.phase();
+            }
+        });
+        batch.sequences().forEach((id, sequence) -> {
+            WorkerState worker = workers.get(id);
+            if (worker != null && bootsAtTake.getOrDefault(id, -1L) == worker.bootWallMs) {
+                worker.durableSequence = Math.max(worker.durableSequence, sequence);
+            }
+        });
+    }
+
+    /** The batch could not be written; its jobs are written again. */
+    public void notWritten(Batch batch) {
+        batch.progress().keySet().forEach(id -> {
+            JobState job = jobs.get(id);
+            if (job != null) {
+                dirty.add(job);
+            }
+        });
+    }
+
+    /** Start times of all workers, which tell one life from the next. */
+    public Map<String, Long> boots() {
+        Map<String, Long> boots = new HashMap<>();
+        workers.forEach((id, worker) -> boots.put(id, worker.bootWallMs));
+        return boots;
+    }
+
+    /** Forgets jobs that ended before {@code untilWallMs}; yields their ids, at most {@code limit}. */
+    public List<String> forgetEnded(long untilWallMs, int limit) {
+        List<String> ids = jobs.values().stream()
+                .filter(job -> !job.isOpen() && job.durablePhase.isFinal() && job.endedWallMs < untilWallMs)
+                .limit(limit)
+                .map(job -> job.job.id())
+                .toList();
+        ids.forEach(jobs::remove);
+        return ids;
+    }
+
+    /** A start order as the pass creates it; the owner adds its fencing token. */
+    static StartOrder order(RunState run, long leaseEndWorkerMs, String checkpoint, String ticket) {
+        TaskState task = run.task;
+        String payload = task == null ? "" : task.step.job.job.payload();
+        return new StartOrder(run.run, payload, leaseEndWorkerMs, 0, checkpoint, ticket);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/pool/core/SchedulingPass.java
@@ -0,0 +1,121 @@
+package io.radishspindle.pool.core;
+
+import io.radishspindle.pool.core.RunState.Phase;
+import io.radishspindle.pool.core.StepState.Ticket;
+import io.radishspindle.pool.model.JobPhase;
+import io.radishspindle.pool.model.Run;
+import java.util.Collection;
+import java.util.List;
+import java.util.Set;
+
+/** Places the waiting tasks of ready steps, in rank order, once. Lives for one pass; not thread-safe. */
+final class SchedulingPass {
+    /** Gangs that may keep workers free while they wait; more would leave too much of the pool idle. */
+    private static final int MAX_RESERVING_GANGS = 3;
+
+    private final Collection<WorkerState> workers;
+    private final List<PoolAction> actions;
+    private final long nowMs;
+    private final Placer placer;
+    private final Preemptor preemptor;
+    private int adviceChannels;
+    private int reservingGangs;
+
+    SchedulingPass(Collection<WorkerState> workers, List<PoolAction> actions, long nowMs, int adviceChannels) {
+        this.workers = workers;
+        this.actions = actions;
+        this.nowMs = nowMs;
+        this.adviceChannels = adviceChannels;
+        placer = new Placer(workers, nowMs);
+        preemptor = new Preemptor(workers, placer, nowMs);
+    }
+
+    void run(List<StepState> ranked, Set<JobState> dirty) {
+        for (StepState step : ranked) {
+            if (step.spec.gang()) {
+                placeGang(step, dirty);
+            } else {
+                placeTasks(step, dirty);
+            }
+            if (adviceChannels > 0) {
+                AdvicePlanner.plan(step, workers, placer, nowMs).ifPresent(advise -> {
+                    actions.add(advise);
+                    adviceChannels--;
+                });
+            }
+        }
+    }
+
+    private void placeTasks(StepState step, Set<JobState> dirty) {
+        boolean exhausted = false;
+        for (TaskState task : step.tasks) {
+            if (!task.isWaiting() || nowMs < task.notBeforeMs) {
+                continue;
+            }
+            WorkerState worker = exhausted ? null : placer.choose(task);
+            if (worker != null) {
+                start(task, worker, task.attempts + 1, task.checkpoint, dirty);
+                continue;
+            }
+            exhausted = true;
+            if (!mayPreempt(step) || placer.lacksTicket()) {
+                return;
+            }
+            stopAll(preemptor.makeRoom(step), "preempted for " + task.name);
+        }
+    }
+
+    private void placeGang(StepState step, Set<JobState> dirty) {
+        if (step.isOccupying() || step.tasks.stream().anyMatch(task -> nowMs < task.notBeforeMs)) {
+            return;
+        }
+        List<WorkerState> chosen = placer.chooseGang(step);
+        if (!chosen.isEmpty()) {
+            int attempt = 1
+                    + step.tasks.stream().mapToInt(task -> task.attempts).max().orElse(0);
+            String checkpoint = step.tasks.get(0).checkpoint;
+            for (int i = 0; i < chosen.size(); i++) {
+                start(step.tasks.get(i), chosen.get(i), attempt, checkpoint, dirty);
+            }
+            return;
+        }
+        if (mayPreempt(step)) {
+            for (int i = 0; i < step.tasks.size(); i++) {
+                stopAll(preemptor.makeRoom(step), "preempted for gang " + step.name());
+            }
+        }
+        if (reservingGangs < MAX_RESERVING_GANGS) {
+            reservingGangs++;
+            placer.reserveForGang(step);
+        }
+    }
+
+    private boolean mayPreempt(StepState step) {
+        return !step.spec.fills() && nowMs - step.readySinceMs > PoolTiming.PREEMPT_AFTER_MS;
+    }
+
+    private void stopAll(List<RunState> runs, String reason) {
+        for (RunState run : runs) {
+            run.phase = Phase.STOPPING;
+            run.stopSentAtMs = nowMs;
+            actions.add(new PoolAction.Stop(run.worker.entry, run.run, reason));
+        }
+    }
+
+    private void start(TaskState task, WorkerState worker, int attempt, String checkpoint, Set<JobState> dirty) {
+        StepState step = task.step;
+        RunState run = new RunState(new Run(task.name, attempt), worker, step.spec.reserved(), task, nowMs);
+        task.run = run;
+        task.attempts = attempt;
+        step.highestAttempt = Math.max(step.highestAttempt, attempt);
+        worker.occupy(run);
+        if (step.job.phase == JobPhase.QUEUED) {
+            step.job.phase = JobPhase.RUNNING;
+            dirty.add(step.job);
+        }
+        Ticket ticket = step.tickets.get(worker.id());
+        String text = ticket == null ? "" : ticket.text();
+        actions.add(new PoolAction.Start(
+                worker.entry, PoolScheduler.order(run, worker.grantLease(nowMs), checkpoint, text)));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/pool/model/PoolConfig.java
@@ -0,0 +1,30 @@
+package io.radishspindle.pool.model;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * One version of the operators' configuration of queues and pools. Immutable and thread-safe.
+ *
+ * @param version increases with each change
+ * @param maxBodyBytes largest body of a submission, in bytes
+ */
+public record PoolConfig(long version, List<QueuePolicy> queues, List<String> pools, int maxBodyBytes) {
+    public PoolConfig {
+        queues = List.copyOf(queues);
+        pools = List.copyOf(pools);
+    }
+
+    /** The queue with this host and the longest prefix that {@code path} begins with. */
+    public Optional<QueuePolicy> queueFor(String host, String path) {
+        QueuePolicy best = null;
+        for (QueuePolicy queue : queues) {
+            boolean longer =
+                    best == null || queue.prefix().length() > best.prefix().length();
+            if (longer && queue.host().equals(host) && path.startsWith(queue.prefix())) {
+                best = queue;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/pool/model/PoolJob.java
@@ -0,0 +1,34 @@
+package io.radishspindle.pool.model;
+
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * An accepted job with the policy that was in force when it was accepted. Immutable and thread-safe.
+ *
+ * @param id chosen by the caller; unique within the pool
+ * @param payload passed to the worker with each start
+ * @param occurrences how often the steps run, at least 1
+ * @param firstStartWallMs Unix milliseconds at which occurrence 0 is due; 0 for at once
+ * @param periodMs milliseconds between occurrences
+ * @param acceptedWallMs Unix milliseconds of the first send, as the accepting VM saw it
+ */
+public record PoolJob(
+        String id,
+        String queue,
+        String pool,
+        String payload,
+        List<StepSpec> steps,
+        int occurrences,
+        long firstStartWallMs,
+        long periodMs,
+        long acceptedWallMs,
+        int priority,
+        int maxAttempts,
+        double slowdownFactor,
+        long objectiveMs,
+        @Nullable AdvicePolicy advice) {
+    public PoolJob {
+        steps = List.copyOf(steps);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/pool/runtime/ControlView.java
@@ -0,0 +1,100 @@
+package io.radishspindle.pool.runtime;
+
+import io.radishspindle.platform.Clock;
+import io.radishspindle.pool.port.SharedStore.Item;
+import io.radishspindle.pool.runtime.Records.Member;
+import io.radishspindle.pool.runtime.Records.Owner;
+import io.radishspindle.protocol.PeerDirectory;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * What this VM knows of the other VMs and of the owners of pools, as followed in the shared store. Belongs to one
+ * event loop.
+ *
+ * <p>Invariant: the address of a VM stays known after its entry has gone, so that VMs still reach each other while
+ * the store is away.
+ */
+final class ControlView implements PrefixWatch.Listener, PeerDirectory {
+    /** An owner with the revision of its claim, which is its fencing token. */
+    record Ownership(Owner owner, long revision) {}
+
+    private final Clock clock;
+    private final Map<String, Member> live = new HashMap<>();
+    private final Map<String, Member> known = new HashMap<>();
+    private final Map<String, Ownership> owners = new HashMap<>();
+    private final Map<String, Long> ownerlessSinceMs = new HashMap<>();
+
+    ControlView(Clock clock) {
+        this.clock = clock;
+    }
+
+    @Override
+    public void listed(List<Item> items) {
+        Set<String> keys = new HashSet<>();
+        items.forEach(item -> keys.add(item.key()));
+        live.keySet().removeIf(vm -> !keys.contains(StoreKeys.member(vm)));
+        List.copyOf(owners.keySet()).stream()
+                .filter(pool -> !keys.contains(StoreKeys.owner(pool)))
+                .forEach(this::ownerGone);
+        items.forEach(this::changed);
+    }
+
+    @Override
+    public void changed(Item item) {
+        byte[] value = item.value();
+        if (StoreKeys.isMember(item.key())) {
+            String vm = StoreKeys.memberId(item.key());
+            if (value == null) {
+                live.remove(vm);
+            } else {
+                Records.decode(item.key(), value, Member.class).onSuccess(member -> {
+                    live.put(vm, member);
+                    known.put(vm, member);
+                });
+            }
+        } else if (StoreKeys.isOwner(item.key())) {
+            String pool = StoreKeys.ownedPool(item.key());
+            if (value == null) {
+                ownerGone(pool);
+            } else {
+                Records.decode(item.key(), value, Owner.class).onSuccess(owner -> {
+                    owners.put(pool, new Ownership(owner, item.revision()));
+                    ownerlessSinceMs.remove(pool);
+                });
+            }
+        }
+    }
+
+    private void ownerGone(String pool) {
+        owners.remove(pool);
+        ownerlessSinceMs.put(pool, clock.nowMs());
+    }
+
+    /** VMs whose entries are present. */
+    Map<String, Member> live() {
+        return live;
+    }
+
+    Optional<Ownership> owner(String pool) {
+        return Optional.ofNullable(owners.get(pool));
+    }
+
+    Map<String, Ownership> owners() {
+        return owners;
+    }
+
+    /** How long a pool has been without an owner, in milliseconds. */
+    long ownerlessMs(String pool, long nowMs) {
+        return nowMs - ownerlessSinceMs.computeIfAbsent(pool, ignored -> nowMs);
+    }
+
+    @Override
+    public Optional<PeerAddress> addressOf(String vmId) {
+        return Optional.ofNullable(known.get(vmId)).map(member -> new PeerAddress(member.host(), member.port()));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/pool/runtime/JobDirectory.java
@@ -0,0 +1,175 @@
+package io.radishspindle.pool.runtime;
+
+import io.radishspindle.error.ErrorCode;
+import io.radishspindle.error.Failure;
+import io.radishspindle.pool.model.JobPhase;
+import io.radishspindle.pool.model.JobProgress;
+import io.radishspindle.pool.port.SharedStore;
+import io.radishspindle.pool.port.SharedStore.Item;
+import io.radishspindle.pool.port.SharedStore.Txn;
+import io.radishspindle.protocol.PeerMessenger;
+import io.radishspindle.protocol.message.PoolMessages.CancelStored;
+import io.radishspindle.protocol.message.PoolMessages.PendingJobs;
+import io.radishspindle.protocol.message.PoolMessages.PoolJobState;
+import io.radishspindle.protocol.message.PoolMessages.QueryPending;
+import io.radishspindle.protocol.message.PoolMessages.QueryPoolJob;
+import io.vavr.control.Either;
+import io.vertx.core.Future;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Answers questions about jobs and cancels them: from the owner of the pool, or from the store if the owner can't
+ * tell. Belongs to one event loop.
+ *
+ * <p>Invariant: a job is reported as unknown only after a linearizable read has not found it.
+ */
+final class JobDirectory {
+    /** How long the owner may take before the store is asked instead, in milliseconds. */
+    private static final long OWNER_TIMEOUT_MS = 500;
+
+    private static final long RETRY_AFTER_MS = 1_000;
+    private static final byte[] CANCELLED = {1};
+
+    private final SharedStore store;
+    private final PeerMessenger messenger;
+    private final ControlView view;
+    private final NodeIdentity self;
+    private final Map<String, PoolOwner> owned;
+    private final Map<String, Integer> lastPending = new HashMap<>();
+
+    JobDirectory(
+            SharedStore store,
+            PeerMessenger messenger,
+            ControlView view,
+            NodeIdentity self,
+            Map<String, PoolOwner> owned) {
+        this.store = store;
+        this.messenger = messenger;
+        this.view = view;
+        this.self = self;
+        this.owned = owned;
+    }
+
+    /** Phase of a job; empty if no such job exists. */
+    Future<Either<Failure, Optional<JobPhase>>> phase(String pool, String jobId) {
+        PoolOwner local = owned.get(pool);
+        if (local != null) {
+            Optional<JobPhase> known = local.phase(jobId);
+            return known.isPresent() ? Future.succeededFuture(Either.right(known)) : phaseFromStore(pool, jobId);
+        }
+        Optional<String> owner = remoteOwner(pool);
+        if (owner.isEmpty()) {
+            return phaseFromStore(pool, jobId);
+        }
+        return messenger
+                .request(owner.get(), new QueryPoolJob(pool, jobId), PoolJobState.class, OWNER_TIMEOUT_MS)
+                .compose(reply -> reply.isRight() && !reply.get().phase().isEmpty()
+                        ? Future.succeededFuture(Either.right(
+                                Optional.of(JobPhase.valueOf(reply.get().phase()))))
+                        : phaseFromStore(pool, jobId));
+    }
+
+    private Optional<String> remoteOwner(String pool) {
+        return view.owner(pool).map(o -> o.owner().vmId()).filter(vm -> !vm.equals(self.vmId()));
+    }
+
+    private Future<Either<Failure, Optional<JobPhase>>> phaseFromStore(String pool, String jobId) {
+        return Future.join(
+                        store.get(StoreKeys.progress(pool, jobId)),
+                        store.get(StoreKeys.cancellation(pool, jobId)),
+                        store.get(StoreKeys.job(pool, jobId)))
+                .map(all -> {
+                    Either<Failure, Optional<Item>> progress = all.resultAt(0);
+                    Either<Failure, Optional<Item>> cancel = all.resultAt(1);
+                    Either<Failure, Optional<Item>> job = all.resultAt(2);
+                    return progress.flatMap(
+                            p -> cancel.flatMap(c -> job.map(j -> phaseOf(p, c.isPresent(), j.isPresent()))));
+                });
+    }
+
+    private static Optional<JobPhase> phaseOf(Optional<Item> progress, boolean cancelled, boolean exists) {
+        if (!exists) {
+            return Optional.empty();
+        }
+        Optional<JobPhase> saved = progress.flatMap(item -> {
+            byte[] value = item.value();
+            return value == null
+                    ? Optional.empty()
+                    : Records.decode(item.key(), value, JobProgress.class)
+                            .map(JobProgress::phase)
+                            .toJavaOptional();
+        });
+        if (saved.isPresent() && saved.get().isFinal()) {
+            return saved;
+        }
+        return Optional.of(cancelled ? JobPhase.CANCELLED : saved.orElse(JobPhase.QUEUED));
+    }
+
+    /** Number of jobs of a queue without a started task, as the owner or its last answer tells it. */
+    Future<Either<Failure, Integer>> pending(String pool, String queue) {
+        PoolOwner local = owned.get(pool);
+        if (local != null) {
+            Optional<Integer> count = local.pending(queue);
+            return count.isPresent()
+                    ? Future.succeededFuture(Either.right(count.get()))
+                    : Future.succeededFuture(cachedPending(queue));
+        }
+        Optional<String> owner = remoteOwner(pool);
+        if (owner.isEmpty()) {
+            return Future.succeededFuture(cachedPending(queue));
+        }
+        return messenger
+                .request(owner.get(), new QueryPending(pool, queue), PendingJobs.class, OWNER_TIMEOUT_MS)
+                .map(reply -> {
+                    if (reply.isLeft() || reply.get().count() < 0) {
+                        return cachedPending(queue);
+                    }
+                    lastPending.put(queue, reply.get().count());
+                    return Either.right(reply.get().count());
+                });
+    }
+
+    private Either<Failure, Integer> cachedPending(String queue) {
+        Integer last = lastPending.get(queue);
+        return last == null
+                ? Either.left(Failure.retryable(
+                        ErrorCode.NO_OWNER, "queue.pending", queue, "the pool has no owner", RETRY_AFTER_MS))
+                : Either.right(last);
+    }
+
+    /** Cancels a job; false if no such job exists. The cancellation is durable when this succeeds. */
+    Future<Either<Failure, Boolean>> cancel(String pool, String jobId) {
+        return store.get(StoreKeys.job(pool, jobId)).compose(found -> {
+            if (found.isLeft()) {
+                return Future.succeededFuture(Either.left(found.getLeft()));
+            }
+            if (found.get().isEmpty()) {
+                return Future.succeededFuture(Either.right(false));
+            }
+            String key = StoreKeys.cancellation(pool, jobId);
+            Txn txn = new Txn(
+                    Map.of(StoreKeys.job(pool, jobId), found.get().get().revision()),
+                    List.of(new SharedStore.Write(key, CANCELLED, 0)),
+                    List.of());
+            return store.transact(txn)
+                    .map(result -> result.map(written -> {
+                        if (written.applied()) {
+                            tellOwner(pool, jobId);
+                        }
+                        return written.applied();
+                    }));
+        });
+    }
+
+    private void tellOwner(String pool, String jobId) {
+        PoolOwner local = owned.get(pool);
+        if (local != null) {
+            local.cancelStored(jobId);
+        } else {
+            remoteOwner(pool).ifPresent(vm -> messenger.send(vm, new CancelStored(pool, jobId)));
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/pool/runtime/JobIntake.java
@@ -0,0 +1,177 @@
+package io.radishspindle.pool.runtime;
+
+import io.radishspindle.error.ErrorCode;
+import io.radishspindle.error.Failure;
+import io.radishspindle.platform.Clock;
+import io.radishspindle.pool.model.PoolJob;
+import io.radishspindle.pool.port.SharedStore;
+import io.radishspindle.pool.port.SharedStore.Item;
+import io.radishspindle.pool.port.SharedStore.Txn;
+import io.radishspindle.pool.port.SharedStore.TxnResult;
+import io.radishspindle.pool.port.SharedStore.Write;
+import io.vavr.control.Either;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/**
+ * Stores submissions, several in one conditional write. Any VM does so without the owner of the pool. Belongs to one
+ * event loop.
+ *
+ * <p>Invariants: a submission succeeds only after its job is stored; it is refused as not run only if no write of it
+ * can still take effect; a repeated id is the same job.
+ */
+final class JobIntake {
+    /** Jobs in one transaction; each takes a condition and a write. */
+    private static final int BATCH = SharedStore.MAX_TXN_ENTRIES / 2;
+    /** Transactions under way at once, so that one slow call doesn't hold up all submissions. */
+    private static final int MAX_IN_FLIGHT = 3;
+    /** Pause before a write with an unknown outcome is repeated, in milliseconds. */
+    private static final long REPEAT_MS = 60;
+
+    private static final long RETRY_AFTER_MS = 1_000;
+    /** Submissions that may wait; more are refused at once. */
+    private static final int MAX_WAITING = 400;
+
+    /** A submission that waits for its answer. */
+    private static final class Pending {
+        final PoolJob job;
+        final String key;
+        final byte[] value;
+        final long deadlineMs;
+        final Promise<Either<Failure, PoolJob>> promise = Promise.promise();
+        /** An earlier write of it may still take effect. */
+        boolean uncertain;
+
+        Pending(PoolJob job, long deadlineMs) {
+            this.job = job;
+            this.deadlineMs = deadlineMs;
+            key = StoreKeys.job(job.pool(), job.id());
+            value = Records.encode(job);
+        }
+    }
+
+    private final Vertx vertx;
+    private final Clock clock;
+    private final SharedStore store;
+    private final Consumer<PoolJob> onStored;
+    private final Deque<Pending> waiting = new ArrayDeque<>();
+    private int inFlight;
+    private boolean scheduled;
+
+    /** @param onStored told of each job that this VM has stored */
+    JobIntake(Vertx vertx, Clock clock, SharedStore store, Consumer<PoolJob> onStored) {
+        this.vertx = vertx;
+        this.clock = clock;
+        this.store = store;
+        this.onStored = onStored;
+    }
+
+    /** Stores a job. A failure with {@code notRun} false means that the outcome stayed unknown until the deadline. */
+    Future<Either<Failure, PoolJob>> submit(PoolJob job, long deadlineMs) {
+        if (waiting.size() >= MAX_WAITING) {
+            return Future.succeededFuture(Either.left(refusal("too many submissions wait for the store")));
+        }
+        Pending pending = new Pending(job, deadlineMs);
+        waiting.add(pending);
+        schedule();
+        return pending.promise.future();
+    }
+
+    int waiting() {
+        return waiting.size();
+    }
+
+    private void schedule() {
+        if (!scheduled) {
+            scheduled = true;
+            vertx.runOnContext(ignored -> {
+                scheduled = false;
+                flush();
+            });
+        }
+    }
+
+    private void flush() {
+        while (!waiting.isEmpty() && inFlight < MAX_IN_FLIGHT) {
+            List<Pending> batch = new ArrayList<>();
+            Set<String> keys = new HashSet<>();
+            while (!waiting.isEmpty() && batch.size() < BATCH && keys.add(waiting.peek().key)) {
+                batch.add(waiting.remove());
+            }
+            write(batch);
+        }
+    }
+
+    private void write(List<Pending> batch) {
+        Map<String, Long> expected = new HashMap<>();
+        List<Write> writes = new ArrayList<>();
+        for (Pending pending : batch) {
+            expected.put(pending.key, 0L);
+            writes.add(new Write(pending.key, pending.value, 0));
+        }
+        inFlight++;
+        store.transact(new Txn(expected, writes, List.of())).onSuccess(result -> {
+            inFlight--;
+            onWritten(batch, result);
+            flush();
+        });
+    }
+
+    private void onWritten(List<Pending> batch, Either<Failure, TxnResult> result) {
+        if (result.isLeft()) {
+            batch.forEach(pending -> onFailed(pending, result.getLeft()));
+        } else if (result.get().applied()) {
+            batch.forEach(pending -> {
+                pending.promise.complete(Either.right(pending.job));
+                onStored.accept(pending.job);
+            });
+        } else {
+            onConflict(batch, result.get());
+        }
+    }
+
+    /** Some ids exist already: those are the same jobs; the others are written again. */
+    private void onConflict(List<Pending> batch, TxnResult result) {
+        Set<String> existing = new HashSet<>();
+        result.current().stream().filter(Item::exists).forEach(item -> existing.add(item.key()));
+        for (Pending pending : batch) {
+            if (existing.contains(pending.key)) {
+                pending.promise.complete(Either.right(pending.job));
+                if (pending.uncertain) {
+                    onStored.accept(pending.job);
+                }
+            } else {
+                waiting.addFirst(pending);
+            }
+        }
+    }
+
+    private void onFailed(Pending pending, Failure failure) {
+        pending.uncertain |= !failure.notRun();
+        if (!pending.uncertain) {
+            pending.promise.complete(Either.left(refusal(failure.message())));
+        } else if (clock.nowMs() >= pending.deadlineMs) {
+            pending.promise.complete(
+                    Either.left(Failure.unknown("job.store", failure.peer(), "outcome unknown: " + failure.message())));
+        } else {
+            vertx.setTimer(REPEAT_MS, ignored -> {
+                waiting.add(pending);
+                schedule();
+            });
+        }
+    }
+
+    private static Failure refusal(String reason) {
+        return Failure.retryable(ErrorCode.STORE_UNAVAILABLE, "job.store", "store", reason, RETRY_AFTER_MS);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/pool/runtime/NodeIdentity.java
@@ -0,0 +1,9 @@
+package io.radishspindle.pool.runtime;
+
+/**
+ * This process. Immutable and thread-safe.
+ *
+ * @param boot differs between two processes of the same VM
+ * @param peerPort port of the inner protocol
+ */
+public record NodeIdentity(String vmId, String boot, String host, int peerPort, String dataCentre, String region) {}
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/pool/runtime/NodeLease.java
@@ -0,0 +1,107 @@
+package io.radishspindle.pool.runtime;
+
+import io.radishspindle.error.ErrorCode;
+import io.radishspindle.error.Failure;
+import io.radishspindle.pool.port.SharedStore;
+import io.radishspindle.pool.port.SharedStore.Txn;
+import io.radishspindle.pool.port.SharedStore.TxnResult;
+import io.radishspindle.pool.port.SharedStore.Write;
+import io.vavr.control.Either;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.util.List;
+import java.util.Map;
+import org.tinylog.Logger;
+
+/**
+ * The lease of this VM in the shared store; the VM's entry and its ownerships are bound to it. Belongs to one event
+ * loop.
+ */
+final class NodeLease {
+    /** Life of the lease without renewal, in milliseconds; four renewals may fail. */
+    private static final long TTL_MS = 2_000;
+
+    private static final long RENEW_MS = 450;
+
+    private final Vertx vertx;
+    private final SharedStore store;
+    private final NodeIdentity self;
+    private long lease;
+    private boolean closed;
+
+    NodeLease(Vertx vertx, SharedStore store, NodeIdentity self) {
+        this.vertx = vertx;
+        this.store = store;
+        this.self = self;
+    }
+
+    /** Id of the lease; 0 while there is none. */
+    long id() {
+        return lease;
+    }
+
+    void start() {
+        create();
+    }
+
+    /** Ends the lease, so that other VMs take over at once. */
+    Future<Void> close() {
+        closed = true;
+        return lease == 0 ? Future.succeededFuture() : store.endLease(lease).mapEmpty();
+    }
+
+    private void create() {
+        if (closed) {
+            return;
+        }
+        store.createLease(TTL_MS).onSuccess(result -> {
+            if (result.isLeft()) {
+                later(this::create);
+                return;
+            }
+            lease = result.get();
+            register();
+        });
+    }
+
+    private void register() {
+        Records.Member member =
+                new Records.Member(self.host(), self.peerPort(), self.dataCentre(), self.region(), self.boot());
+        Write write = new Write(StoreKeys.member(self.vmId()), Records.encode(member), lease);
+        store.transact(new Txn(Map.of(), List.of(write), List.of())).onSuccess(this::onRegistered);
+    }
+
+    private void onRegistered(Either<Failure, TxnResult> result) {
+        if (result.isRight()) {
+            Logger.info("event=member-registered vm={} lease={}", self.vmId(), lease);
+            later(this::renew);
+        } else if (result.getLeft().code() == ErrorCode.NOT_FOUND) {
+            lost();
+        } else {
+            later(this::register);
+        }
+    }
+
+    private void renew() {
+        if (closed) {
+            return;
+        }
+        store.renewLease(lease).onSuccess(result -> {
+            if (result.isLeft() && result.getLeft().code() == ErrorCode.NOT_FOUND) {
+                lost();
+            } else {
+                later(this::renew);
+            }
+        });
+    }
+
+    private void lost() {
+        Logger.warn("event=lease-lost vm={} lease={}", self.vmId(), lease);
+        lease = 0;
+        create();
+    }
+
+    private void later(Runnable action) {
+        vertx.setTimer(RENEW_MS, ignored -> action.run());
+    }
+}
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/pool/runtime/OwnerElection.java
@@ -0,0 +1,208 @@
+package io.radishspindle.pool.runtime;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import io.radishspindle.error.Failure;
+import io.radishspindle.platform.Clock;
+import io.radishspindle.pool.port.SharedStore;
+import io.radishspindle.pool.port.SharedStore.Txn;
+import io.radishspindle.pool.port.SharedStore.TxnResult;
+import io.radishspindle.pool.port.SharedStore.Write;
+import io.radishspindle.pool.runtime.ControlView.Ownership;
+import io.radishspindle.pool.runtime.Records.Member;
+import io.radishspindle.protocol.PeerMessenger;
+import io.radishspindle.protocol.message.PoolMessages.PoolPing;
+import io.radishspindle.protocol.message.PoolMessages.PoolPong;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.tinylog.Logger;
+
+/**
+ * Decides when this VM claims a pool. Safety does not depend on it: a claim is one conditional write, and its
+ * revision fences earlier owners at every worker. Belongs to one event loop.
+ */
+final class OwnerElection {
+    /** Head start of a better candidate, in milliseconds: several times a write to the store. */
+    private static final long RANK_DELAY_MS = 250;
+    /** Time between pings of an owner by its first stand-by, in milliseconds. */
+    private static final long PING_MS = 250;
+
+    private static final long PING_TIMEOUT_MS = 500;
+    /** An owner that answers no ping for this long is replaced; shorter pauses occur on a busy VM. */
+    private static final long SILENT_OWNER_MS = 900;
+
+    /** Called when a claim has succeeded. */
+    interface Listener {
+        void claimed(String pool, long fencingToken);
+    }
+
+    private final Clock clock;
+    private final SharedStore store;
+    private final ControlView view;
+    private final NodeIdentity self;
+    private final NodeLease lease;
+    private final PeerMessenger messenger;
+    private final Listener listener;
+    private final Map<String, Long> held = new HashMap<>();
+    private final Set<String> claiming = new HashSet<>();
+    private final Map<String, Long> lastPingMs = new HashMap<>();
+    private final Map<String, Long> silentSinceMs = new HashMap<>();
+    private boolean closed;
+
+    OwnerElection(
+            Clock clock,
+            SharedStore store,
+            ControlView view,
+            NodeIdentity self,
+            NodeLease lease,
+            PeerMessenger messenger,
+            Listener listener) {
+        this.clock = clock;
+        this.store = store;
+        this.view = view;
+        this.self = self;
+        this.lease = lease;
+        this.messenger = messenger;
+        this.listener = listener;
+    }
+
+    /** Stops all claims; owners that have been claimed stay until they are released. */
+    void close() {
+        closed = true;
+    }
+
+    /** The pool was given up or taken away. */
+    void released(String pool) {
+        held.remove(pool);
+    }
+
+    boolean holds(String pool) {
+        return held.containsKey(pool);
+    }
+
+    /** Looks at each pool; called several times a second. */
+    void tick(List<String> pools) {
+        if (closed || lease.id() == 0) {
+            return;
+        }
+        long nowMs = clock.nowMs();
+        for (String pool : pools) {
+            if (!held.containsKey(pool) && !claiming.contains(pool)) {
+                consider(pool, nowMs);
+            }
+        }
+    }
+
+    private void consider(String pool, long nowMs) {
+        Optional<Ownership> owner = view.owner(pool);
+        if (owner.isEmpty()) {
+            int rank = candidates(pool, "").indexOf(self.vmId());
+            if (rank >= 0 && view.ownerlessMs(pool, nowMs) >= rank * RANK_DELAY_MS) {
+                claim(pool, 0, "no owner");
+            }
+            return;
+        }
+        Ownership ownership = owner.get();
+        if (ownership.owner().vmId().equals(self.vmId())) {
+            claim(pool, ownership.revision(), "claim of an earlier process or lease");
+            return;
+        }
+        List<String> standBys = candidates(pool, ownership.owner().vmId());
+        if (!standBys.isEmpty() && standBys.get(0).equals(self.vmId())) {
+            ping(pool, ownership, nowMs);
+        }
+    }
+
+    private void ping(String pool, Ownership ownership, long nowMs) {
+        if (nowMs - lastPingMs.getOrDefault(pool, 0L) < PING_MS) {
+            return;
+        }
+        lastPingMs.put(pool, nowMs);
+        messenger
+                .request(ownership.owner().vmId(), new PoolPing(pool), PoolPong.class, PING_TIMEOUT_MS)
+                .onSuccess(reply -> onPong(pool, ownership, reply, nowMs));
+    }
+
+    private void onPong(String pool, Ownership ownership, Either<Failure, PoolPong> reply, long sentMs) {
+        if (reply.isRight() && reply.get().owner()) {
+            silentSinceMs.remove(pool);
+            return;
+        }
+        long sinceMs = silentSinceMs.computeIfAbsent(pool, ignored -> sentMs);
+        if (clock.nowMs() - sinceMs < SILENT_OWNER_MS) {
+            return;
+        }
+        silentSinceMs.remove(pool);
+        boolean unchanged = view.owner(pool).map(ownership::equals).orElse(false);
+        if (unchanged && !claiming.contains(pool) && !closed) {
+            claim(pool, ownership.revision(), "owner " + ownership.owner().vmId() + " does not answer");
+        }
+    }
+
+    /**
+     * Live VMs in the order in which they should own a pool: those without a pool first, then those in the region
+     * with the most VMs, where the store and most workers are; a hash spreads pools over equals.
+     */
+    private List<String> candidates(String pool, String excluded) {
+        Map<String, Member> live = view.live();
+        Map<String, Integer> vmsByRegion = new HashMap<>();
+        live.values().forEach(member -> vmsByRegion.merge(member.region(), 1, Integer::sum));
+        Set<String> owning = new HashSet<>();
+        view.owners().forEach((other, ownership) -> {
+            if (!other.equals(pool)) {
+                owning.add(ownership.owner().vmId());
+            }
+        });
+        List<String> order = new ArrayList<>(live.keySet());
+        order.remove(excluded);
+        order.sort(Comparator.comparing((String vm) -> owning.contains(vm))
+                .thenComparing(vm -> -vmsByRegion.getOrDefault(region(live, vm), 0))
+                .thenComparing(vm -> region(live, vm))
+                .thenComparing(vm -> Hashing.wyhashFinal4().hashCharsToLong(pool + "/" + vm)));
+        return order;
+    }
+
+    private static String region(Map<String, Member> live, String vm) {
+        Member member = live.get(vm);
+        return member == null ? "" : member.region();
+    }
+
+    private void claim(String pool, long expectedRevision, String reason) {
+        claiming.add(pool);
+        String key = StoreKeys.owner(pool);
+        Records.Owner owner = new Records.Owner(self.vmId(), self.boot());
+        Txn txn = new Txn(
+                Map.of(key, expectedRevision), List.of(new Write(key, Records.encode(owner), lease.id())), List.of());
+        store.transact(txn).onSuccess(result -> onClaimed(pool, reason, result));
+    }
+
+    private void onClaimed(String pool, String reason, Either<Failure, TxnResult> result) {
+        claiming.remove(pool);
+        if (result.isLeft()) {
+            // The watch shows the claim if it was written after all; the next tick then claims again over it.
+            Logger.warn(
+                    "event=claim-failed pool={} reason=\"{}\" error=\"{}\"",
+                    pool,
+                    reason,
+                    result.getLeft().message());
+            return;
+        }
+        TxnResult txn = result.get();
+        if (!txn.applied()) {
+            txn.current().forEach(view::changed);
+            Logger.info("event=claim-lost pool={} reason=\"{}\"", pool, reason);
+            return;
+        }
+        Logger.info("event=pool-claimed pool={} token={} reason=\"{}\"", pool, txn.revision(), reason);
+        held.put(pool, txn.revision());
+        view.changed(new SharedStore.Item(
+                StoreKeys.owner(pool), Records.encode(new Records.Owner(self.vmId(), self.boot())), txn.revision()));
+        listener.claimed(pool, txn.revision());
+    }
+}
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolNode.java
@@ -0,0 +1,307 @@
+package io.radishspindle.pool.runtime;
+
+import com.codahale.metrics.MetricRegistry;
+import io.radishspindle.error.ErrorCode;
+import io.radishspindle.error.Failure;
+import io.radishspindle.platform.Clock;
+import io.radishspindle.pool.model.JobPhase;
+import io.radishspindle.pool.model.PoolConfig;
+import io.radishspindle.pool.model.PoolJob;
+import io.radishspindle.pool.model.WorkerEntry;
+import io.radishspindle.pool.port.AdviceService;
+import io.radishspindle.pool.port.SharedStore;
+import io.radishspindle.pool.port.SharedStore.Item;
+import io.radishspindle.pool.port.WorkerControl;
+import io.radishspindle.protocol.PeerMessage;
+import io.radishspindle.protocol.TcpPeerMessenger;
+import io.radishspindle.protocol.message.Done;
+import io.radishspindle.protocol.message.PoolMessages.AdviceGiven;
+import io.radishspindle.protocol.message.PoolMessages.AskAdvice;
+import io.radishspindle.protocol.message.PoolMessages.CancelStored;
+import io.radishspindle.protocol.message.PoolMessages.JobStored;
+import io.radishspindle.protocol.message.PoolMessages.PendingJobs;
+import io.radishspindle.protocol.message.PoolMessages.PoolJobState;
+import io.radishspindle.protocol.message.PoolMessages.PoolPing;
+import io.radishspindle.protocol.message.PoolMessages.PoolPong;
+import io.radishspindle.protocol.message.PoolMessages.QueryPending;
+import io.radishspindle.protocol.message.PoolMessages.QueryPoolJob;
+import io.vavr.control.Either;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.jspecify.annotations.Nullable;
+import org.tinylog.Logger;
+
+/**
+ * One entry VM that accepts jobs for pools and owns some of them. Belongs to the event loop on which it was created.
+ *
+ * <p>Invariant: the version of the configuration in force never goes back.
+ */
+public final class PoolNode {
+    private static final long ELECTION_TICK_MS = 100;
+    /** After this long without an answer of the store the VM reports itself not ready, in milliseconds. */
+    private static final long STORE_SILENT_MS = 1_800;
+
+    private final Vertx vertx;
+    private final Clock clock;
+    private final SharedStore store;
+    private final PlatformCodec codec;
+    private final WorkerControl control;
+    private final AdviceService adviceService;
+    private final NodeIdentity self;
+    private final MetricRegistry metrics;
+    private final TcpPeerMessenger messenger;
+    private final ControlView view;
+    private final NodeLease lease;
+    private final OwnerElection election;
+    private final AdviceDispatcher advice;
+    private final JobIntake intake;
+    private final JobDirectory directory;
+    private final PrefixWatch configWatch;
+    private final PrefixWatch workerWatch;
+    private final PrefixWatch controlWatch;
+    private final Map<String, PoolOwner> owned = new HashMap<>();
+    private final Map<String, WorkerEntry> workers = new HashMap<>();
+    private @Nullable PoolConfig config;
+    private boolean draining;
+
+    /** Creates a VM; nothing is connected before {@link #start}. */
+    public PoolNode(
+            Vertx vertx,
+            Clock clock,
+            SharedStore store,
+            PlatformCodec codec,
+            WorkerControl control,
+            AdviceService adviceService,
+            NodeIdentity self,
+            MetricRegistry metrics) {
+        this.vertx = vertx;
+        this.clock = clock;
+        this.store = store;
+        this.codec = codec;
+        this.control = control;
+        this.adviceService = adviceService;
+        this.self = self;
+        this.metrics = metrics;
+        view = new ControlView(clock);
+        // Every VM of the deployment can reach the store, so the key only keeps out stray connections.
+        messenger =
+                new TcpPeerMessenger(vertx, clock, self.vmId(), self.host(), self.peerPort(), "radishspindle", view);
+        lease = new NodeLease(vertx, store, self);
+        election = new OwnerElection(clock, store, view, self, lease, messenger, this::claimed);
+        advice = new AdviceDispatcher(adviceService, messenger, self, view);
+        intake = new JobIntake(vertx, clock, store, this::tellOwner);
+        directory = new JobDirectory(store, messenger, view, self, owned);
+        configWatch =
+                new PrefixWatch(vertx, clock, store, codec.configKey(), 0, new ConfigListener(), this::storeAnswered);
+        workerWatch = new PrefixWatch(
+                vertx, clock, store, codec.workerPrefix(), 50, new WorkerListener(), this::storeAnswered);
+        controlWatch = new PrefixWatch(vertx, clock, store, StoreKeys.CONTROL, 20, view, this::storeAnswered);
+    }
+
+    /** Starts to listen and to follow the store. */
+    public Future<Void> start() {
+        registerHandlers();
+        configWatch.start();
+        controlWatch.start();
+        workerWatch.start();
+        lease.start();
+        vertx.setPeriodic(ELECTION_TICK_MS, ignored -> tick());
+        return messenger.start();
+    }
+
+    private void tick() {
+        PoolConfig current = config;
+        if (current != null && controlWatch.isListed() && workerWatch.isListed() && !draining) {
+            election.tick(current.pools());
+        }
+    }
+
+    private void storeAnswered(boolean answered) {
+        metrics.counter(answered ? "store.answers" : "store.failures").inc();
+    }
+
+    /** Whether new connections should come to this VM. */
+    public boolean isReady() {
+        return !draining && config != null && clock.nowMs() - configWatch.lastSuccessMs() < STORE_SILENT_MS;
+    }
+
+    /** The configuration in force; empty before the first one has been read. */
+    public Optional<PoolConfig> config() {
+        return Optional.ofNullable(config);
+    }
+
+    /** Hands pools over; submissions and questions are still answered. */
+    public Future<Void> drain() {
+        draining = true;
+        election.close();
+        List<Future<Void>> releases =
+                owned.values().stream().map(PoolOwner::release).toList();
+        owned.clear();
+        Logger.info("event=draining vm={} pools_released={}", self.vmId(), releases.size());
+        return Future.join(releases).mapEmpty();
+    }
+
+    /** Stores a job; see {@link JobIntake#submit}. */
+    public Future<Either<Failure, PoolJob>> submit(PoolJob job, long deadlineMs) {
+        return intake.submit(job, deadlineMs);
+    }
+
+    /** Phase of a job; empty if no such job exists. */
+    public Future<Either<Failure, Optional<JobPhase>>> phase(String pool, String jobId) {
+        return directory.phase(pool, jobId);
+    }
+
+    /** Cancels a job; false if no such job exists. */
+    public Future<Either<Failure, Boolean>> cancel(String pool, String jobId) {
+        return directory.cancel(pool, jobId);
+    }
+
+    /** Number of jobs of a queue without a started task. */
+    public Future<Either<Failure, Integer>> pending(String pool, String queue) {
+        return directory.pending(pool, queue);
+    }
+
+    private void tellOwner(PoolJob job) {
+        PoolOwner local = owned.get(job.pool());
+        if (local != null) {
+            local.jobStored(job);
+            return;
+        }
+        view.owner(job.pool())
+                .map(ownership -> ownership.owner().vmId())
+                .filter(vm -> !vm.equals(self.vmId()))
+                .ifPresent(vm -> messenger.send(vm, new JobStored(job)));
+    }
+
+    private void claimed(String pool, long token) {
+        PoolOwner owner = new PoolOwner(vertx, clock, store, control, advice, metrics, pool, token, this::deposed);
+        PoolOwner previous = owned.put(pool, owner);
+        if (previous != null) {
+            previous.close();
+        }
+        owner.start(workers.values().stream()
+                .filter(worker -> worker.pool().equals(pool))
+                .toList());
+    }
+
+    private void deposed(String pool, String reason) {
+        Logger.warn("event=pool-lost pool={} vm={} reason=\"{}\"", pool, self.vmId(), reason);
+        owned.remove(pool);
+        election.released(pool);
+    }
+
+    private void registerHandlers() {
+        messenger.handle(JobStored.class, (vm, message) -> {
+            ownerOf(message.job().pool()).ifPresent(owner -> owner.jobStored(message.job()));
+            return done();
+        });
+        messenger.handle(CancelStored.class, (vm, message) -> {
+            ownerOf(message.pool()).ifPresent(owner -> owner.cancelStored(message.jobId()));
+            return done();
+        });
+        messenger.handle(PoolPing.class, (vm, message) -> answer(new PoolPong(election.holds(message.pool()))));
+        messenger.handle(
+                QueryPoolJob.class,
+                (vm, message) -> answer(new PoolJobState(ownerOf(message.pool())
+                        .flatMap(owner -> owner.phase(message.jobId()))
+                        .map(JobPhase::name)
+                        .orElse(""))));
+        messenger.handle(
+                QueryPending.class,
+                (vm, message) -> answer(new PendingJobs(ownerOf(message.pool())
+                        .flatMap(owner -> owner.pending(message.queue()))
+                        .orElse(-1))));
+        messenger.handle(AskAdvice.class, (vm, message) -> adviceService
+                .advise(message.step(), message.workers(), message.timeoutMs())
+                .map(result -> result.map(given -> new AdviceGiven(given.tickets(), given.validMs()))));
+    }
+
+    private Optional<PoolOwner> ownerOf(String pool) {
+        return Optional.ofNullable(owned.get(pool));
+    }
+
+    private static Future<Either<Failure, PeerMessage>> answer(PeerMessage message) {
+        return Future.succeededFuture(Either.right(message));
+    }
+
+    private static Future<Either<Failure, PeerMessage>> done() {
+        return answer(new Done());
+    }
+
+    /** Refusal of a VM that has no configuration yet. */
+    public static Failure notReady() {
+        return Failure.retryable(ErrorCode.NOT_READY, "entry.route", "", "no configuration yet", 1_000);
+    }
+
+    /** The operators' configuration. */
+    private final class ConfigListener implements PrefixWatch.Listener {
+        @Override
+        public void listed(List<Item> items) {
+            items.forEach(this::changed);
+        }
+
+        @Override
+        public void changed(Item item) {
+            byte[] value = item.value();
+            if (value == null || !item.key().equals(codec.configKey())) {
+                return;
+            }
+            codec.config(value).ifPresent(next -> {
+                if (config == null || next.version() > config.version()) {
+                    Logger.info(
+                            "event=config-applied version={} previous={} queues={} pools={}",
+                            next.version(),
+                            config == null ? 0 : config.version(),
+                            next.queues().size(),
+                            next.pools().size());
+                    config = next;
+                }
+            });
+        }
+    }
+
+    /** The workers' own entries. */
+    private final class WorkerListener implements PrefixWatch.Listener {
+        @Override
+        public void listed(List<Item> items) {
+            Set<String> present = items.stream().map(item -> id(item.key())).collect(Collectors.toSet());
+            List.copyOf(workers.keySet()).stream()
+                    .filter(id -> !present.contains(id))
+                    .forEach(this::gone);
+            items.forEach(this::changed);
+        }
+
+        @Override
+        public void changed(Item item) {
+            byte[] value = item.value();
+            if (value == null) {
+                gone(id(item.key()));
+                return;
+            }
+            codec.worker(item.key(), value).ifPresent(entry -> {
+                WorkerEntry before = workers.put(entry.id(), entry);
+                if (before != null && !before.pool().equals(entry.pool())) {
+                    ownerOf(before.pool()).ifPresent(owner -> owner.workerUnlisted(entry.id()));
+                }
+                ownerOf(entry.pool()).ifPresent(owner -> owner.workerListed(entry));
+            });
+        }
+
+        private void gone(String id) {
+            WorkerEntry entry = workers.remove(id);
+            if (entry != null) {
+                ownerOf(entry.pool()).ifPresent(owner -> owner.workerUnlisted(id));
+            }
+        }
+
+        private String id(String key) {
+            return key.substring(codec.workerPrefix().length());
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/pool/runtime/Records.java
@@ -0,0 +1,41 @@
+package io.radishspindle.pool.runtime;
+
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vavr.control.Try;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+import org.tinylog.Logger;
+
+/** Encodes the values that entry VMs keep in the shared store as MessagePack. Stateless; thread-safe. */
+final class Records {
+    private static final ObjectMapper MAPPER =
+            new ObjectMapper(new MessagePackFactory()).disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+
+    /** A VM as others reach it. */
+    record Member(String host, int port, String dataCentre, String region, String boot) {}
+
+    /** The VM that owns a pool, with the boot that claimed it. */
+    record Owner(String vmId, String boot) {}
+
+    private Records() {}
+
+    static byte[] encode(Object value) {
+        try {
+            return MAPPER.writeValueAsBytes(value);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Decodes a value; a failure is logged with the key and returned. */
+    static <T> Try<T> decode(String key, byte[] bytes, Class<T> type) {
+        return Try.of(() -> MAPPER.readValue(bytes, type))
+                .onFailure(e -> Logger.warn(
+                        "event=value-unreadable key={} type={} error=\"{}\"",
+                        key,
+                        type.getSimpleName(),
+                        e.getMessage()));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/pool/runtime/StoreKeys.java
@@ -0,0 +1,67 @@
+package io.radishspindle.pool.runtime;
+
+/** Layout of the keys that the entry VMs keep in the shared store. Stateless; thread-safe. */
+final class StoreKeys {
+    private static final String ROOT = "radishspindle/";
+    /** Members and owners, which every VM watches. */
+    static final String CONTROL = ROOT + "control/";
+
+    private static final String MEMBERS = CONTROL + "members/";
+    private static final String OWNERS = CONTROL + "owners/";
+
+    private StoreKeys() {}
+
+    static String member(String vmId) {
+        return MEMBERS + vmId;
+    }
+
+    static String owner(String pool) {
+        return OWNERS + pool;
+    }
+
+    static boolean isMember(String key) {
+        return key.startsWith(MEMBERS);
+    }
+
+    static String memberId(String key) {
+        return key.substring(MEMBERS.length());
+    }
+
+    static boolean isOwner(String key) {
+        return key.startsWith(OWNERS);
+    }
+
+    static String ownedPool(String key) {
+        return key.substring(OWNERS.length());
+    }
+
+    /** Jobs and cancellations of a pool, which its owner watches. */
+    static String intake(String pool) {
+        return ROOT + "intake/" + pool + "/";
+    }
+
+    static String job(String pool, String jobId) {
+        return intake(pool) + "job/" + jobId;
+    }
+
+    static String cancellation(String pool, String jobId) {
+        return intake(pool) + "cancel/" + jobId;
+    }
+
+    static boolean isCancellation(String pool, String key) {
+        return key.startsWith(intake(pool) + "cancel/");
+    }
+
+    static String lastPart(String key) {
+        return key.substring(key.lastIndexOf('/') + 1);
+    }
+
+    /** Progress of a pool's jobs, written by its owner only. */
+    static String allProgress(String pool) {
+        return ROOT + "progress/" + pool + "/";
+    }
+
+    static String progress(String pool, String jobId) {
+        return allProgress(pool) + jobId;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/pool/runtime/WorkerSessions.java
@@ -0,0 +1,180 @@
+package io.radishspindle.pool.runtime;
+
+import io.radishspindle.error.Failure;
+import io.radishspindle.platform.Clock;
+import io.radishspindle.pool.core.PoolScheduler;
+import io.radishspindle.pool.core.PoolTiming;
+import io.radishspindle.pool.model.Run;
+import io.radishspindle.pool.model.WorkerEntry;
+import io.radishspindle.pool.port.WorkerControl;
+import io.radishspindle.pool.port.WorkerControl.Answer;
+import io.radishspindle.pool.port.WorkerControl.HoldOrder;
+import io.radishspindle.pool.port.WorkerControl.HoldReply;
+import io.radishspindle.pool.port.WorkerControl.Reply;
+import io.radishspindle.pool.port.WorkerControl.StartOrder;
+import io.vavr.control.Either;
+import io.vertx.core.Vertx;
+import java.util.HashSet;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.tinylog.Logger;
+
+/**
+ * Talks to the workers of one pool for its owner: one hold a worker at a time, which renews leases and brings ends,
+ * and orders beside it. Belongs to one event loop.
+ */
+final class WorkerSessions {
+    /** What the sessions tell the owner. */
+    interface Listener {
+        /** Something has changed that may allow a decision. */
+        void onReport();
+
+        /** A worker has seen a higher fencing token. */
+        void onDeposed(String reason);
+    }
+
+    private final Vertx vertx;
+    private final Clock clock;
+    private final WorkerControl control;
+    private final PoolScheduler scheduler;
+    private final long fencingToken;
+    private final Listener listener;
+    private final Set<String> polled = new HashSet<>();
+    private boolean closed;
+
+    WorkerSessions(
+            Vertx vertx,
+            Clock clock,
+            WorkerControl control,
+            PoolScheduler scheduler,
+            long fencingToken,
+            Listener listener) {
+        this.vertx = vertx;
+        this.clock = clock;
+        this.control = control;
+        this.scheduler = scheduler;
+        this.fencingToken = fencingToken;
+        this.listener = listener;
+    }
+
+    void close() {
+        closed = true;
+    }
+
+    /** Begins to poll workers that are not polled yet. */
+    void pollNew() {
+        for (String id : scheduler.workerIds()) {
+            if (polled.add(id)) {
+                poll(id);
+            }
+        }
+    }
+
+    private void poll(String id) {
+        WorkerEntry worker = scheduler.worker(id).orElse(null);
+        if (closed || worker == null) {
+            polled.remove(id);
+            return;
+        }
+        long sentAtMs = clock.nowMs();
+        HoldOrder order = scheduler.holdOrder(id, sentAtMs, fencingToken);
+        control.hold(worker, order).onSuccess(result -> onHold(id, sentAtMs, result));
+    }
+
+    private void onHold(String id, long sentAtMs, Either<Failure, HoldReply> result) {
+        if (closed) {
+            return;
+        }
+        if (result.isRight() && result.get().answer() == Answer.ACCEPTED) {
+            scheduler.holdAnswered(id, sentAtMs, result.get().report(), clock.nowMs(), clock.wallMs());
+            listener.onReport();
+            if (scheduler.awaitsDurability(id)) {
+                pollLater(id, PoolTiming.ACK_RETRY_MS);
+            } else {
+                poll(id);
+            }
+            return;
+        }
+        if (result.isRight() && result.get().answer() == Answer.FENCED) {
+            listener.onDeposed("worker " + id + " has seen a higher fencing token");
+            return;
+        }
+        scheduler.holdFailed(id);
+        pollLater(id, PoolTiming.HOLD_RETRY_MS);
+    }
+
+    private void pollLater(String id, long delayMs) {
+        vertx.setTimer(delayMs, ignored -> poll(id));
+    }
+
+    void start(WorkerEntry worker, StartOrder order) {
+        StartOrder fenced = new StartOrder(
+                order.run(),
+                order.payload(),
+                order.leaseEndWorkerMs(),
+                fencingToken,
+                order.checkpoint(),
+                order.ticket());
+        Logger.debug("event=run-start run={} worker={}", order.run(), worker.id());
+        control.start(worker, fenced).onSuccess(result -> {
+            Answer answer = answerOf(result, Answer.UNHEALTHY);
+            if (answer != Answer.ACCEPTED) {
+                Logger.info(
+                        "event=run-not-started run={} worker={} token={} outcome={} error=\"{}\"",
+                        order.run(),
+                        worker.id(),
+                        fencingToken,
+                        answer == null ? "unknown" : answer,
+                        result.isLeft() ? result.getLeft().message() : "");
+            }
+            if (!closed) {
+                onStartAnswer(worker.id(), order.run(), answer);
+            }
+        });
+    }
+
+    private void onStartAnswer(String worker, Run run, @Nullable Answer answer) {
+        if (answer == Answer.FENCED) {
+            listener.onDeposed("worker " + worker + " has seen a higher fencing token");
+            return;
+        }
+        scheduler.startAnswered(worker, run, answer, clock.nowMs());
+        if (answer != Answer.ACCEPTED) {
+            listener.onReport();
+        }
+    }
+
+    void stop(WorkerEntry worker, Run run, String reason) {
+        Logger.info("event=run-stop run={} worker={} reason=\"{}\"", run, worker.id(), reason);
+        control.stop(worker, run, fencingToken).onSuccess(result -> {
+            if (!closed) {
+                Answer answer = answerOf(result, null);
+                if (answer == Answer.FENCED) {
+                    listener.onDeposed("worker " + worker.id() + " has seen a higher fencing token");
+                } else {
+                    scheduler.stopAnswered(worker.id(), run, answer, clock.nowMs());
+                }
+            }
+        });
+    }
+
+    void pace(WorkerEntry worker, Run run, int percent) {
+        Logger.info("event=run-pace run={} worker={} percent={}", run, worker.id(), percent);
+        control.pace(worker, run, percent, fencingToken).onSuccess(result -> {
+            if (result.isLeft()) {
+                Logger.warn(
+                        "event=run-pace-failed run={} error=\"{}\"",
+                        run,
+                        result.getLeft().message());
+            }
+        });
+    }
+
+    /** The answer; {@code notSent} for a call that surely had no effect, null if that is not known. */
+    private static @Nullable Answer answerOf(Either<Failure, Reply> result, @Nullable Answer notSent) {
+        if (result.isRight()) {
+            return result.get().answer();
+        }
+        return result.getLeft().notRun() ? notSent : null;
+    }
+}
--- a/library/src/main/java/io/radishspindle/protocol/MessageTypes.java
+++ b/library/src/main/java/io/radishspindle/protocol/MessageTypes.java
@@ -10,6 +10,7 @@
 import io.radishspindle.protocol.message.JobStatusReply;
 import io.radishspindle.protocol.message.ListJobs;
 import io.radishspindle.protocol.message.ListJobsReply;
+import io.radishspindle.protocol.message.PoolMessages;
 import io.radishspindle.protocol.message.QueryJob;
 import io.radishspindle.protocol.message.RelayDigest;
 import io.radishspindle.protocol.message.SubmitJob;
@@ -30,7 +31,19 @@
             Map.entry(10, ForwardRequest.class),
             Map.entry(11, ForwardResponse.class),
             Map.entry(12, Done.class),
-            Map.entry(13, RelayDigest.class));
+            Map.entry(13, RelayDigest.class),
+            Map.entry(14, PoolMessages.JobStored.class),
+            Map.entry(15, PoolMessages.CancelStored.class),
+            Map.entry(16, PoolMessages.QueryPoolJob.class),
+            Map.entry(17, PoolMessages.PoolJobState.class),
+            Map.entry(18, PoolMessages.QueryPending.class),
+            Map.entry(19, PoolMessages.PendingJobs.class),
+            Map.entry(20, PoolMessages.PoolPing.class),
+            Map.entry(21, PoolMessages.PoolPong.class),
+            Map.entry(22, PoolMessages.AskAdvice.class),
+            Map.entry(23, PoolMessages.AdviceGiven.class),
+            Map.entry(24, PoolMessages.RelayStore.class),
+            Map.entry(25, PoolMessages.StoreRelayed.class));
 
     private MessageTypes() {}
 }
