--- a/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
@@ -41,7 +41,7 @@
 
     /** Creates the scheduler of a pool without jobs and workers. */
     public PoolScheduler() {
-        events = new RunEvents(open, dirty, actions);
+        events = new RunEvents(jobs, open, dirty, actions);
     }
 
     /** Progress to be written, with the ends that may be acknowledged once it is. */
@@ -144,7 +144,8 @@
         if (worker == null || !worker.answered) {
             return new HoldOrder(0, fencingToken, 0, 0);
         }
-        boolean renew = !worker.runs.isEmpty() && hasQuorum(nowMs);
+        // A worker that may be cut off gets no further lease, so that its runs end at a known time.
+        boolean renew = !worker.runs.isEmpty() && !worker.lastHoldFailed && hasQuorum(nowMs);
         long leaseEnd = renew ? worker.grantLease(nowMs) : 0;
         boolean mayWait = worker.seenSequence == worker.durableSequence && !worker.lastHoldFailed;
         return new HoldOrder(leaseEnd, fencingToken, worker.durableSequence, mayWait ? PoolTiming.HOLD_WAIT_MS : 0);
--- a/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
+++ b/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
@@ -30,12 +30,14 @@
     /** Processor use below this share of the request counts as standing still. */
     private static final double IDLE_SHARE = 0.04;
 
+    private final Map<String, JobState> jobs;
     private final Map<String, JobState> open;
     private final Set<JobState> dirty;
     private final List<PoolAction> actions;
     private final DurationStats durations = new DurationStats();
 
-    RunEvents(Map<String, JobState> open, Set<JobState> dirty, List<PoolAction> actions) {
+    RunEvents(Map<String, JobState> jobs, Map<String, JobState> open, Set<JobState> dirty, List<PoolAction> actions) {
+        this.jobs = jobs;
         this.open = open;
         this.dirty = dirty;
         this.actions = actions;
@@ -43,7 +45,7 @@
 
     void reported(WorkerState worker, long requestedAtMs, WorkerReport report, long nowMs, long wallMs) {
         if (worker.answered && report.bootWallMs() != worker.bootWallMs) {
-            newLife(worker, nowMs, wallMs);
+            newLife(worker);
         }
         if (!worker.answered) {
             // The previous owner may have granted a lease just before this owner was fenced in.
@@ -74,9 +76,9 @@
         present.values().forEach(running -> adopt(worker, running, nowMs));
     }
 
-    private void newLife(WorkerState worker, long nowMs, long wallMs) {
+    /** The lists then lack the runs of the earlier life; a start that has just been sent may belong to the new one. */
+    private void newLife(WorkerState worker) {
         actions.add(new PoolAction.WorkerChanged(worker.id(), "restarted", "reports a new start time"));
-        loseAll(worker, nowMs, wallMs);
         worker.seenSequence = 0;
         worker.durableSequence = 0;
     }
@@ -141,14 +143,10 @@
     }
 
     private void adopt(WorkerState worker, RunningTask running, long nowMs) {
-        TaskState task = find(running.run().task());
-        boolean wanted = task != null && !task.done && task.run == null && task.step.job.isOpen();
+        TaskState task = find(open, running.run().task());
+        boolean wanted = task != null && !task.done && task.run == null;
         RunState run = new RunState(
-                running.run(),
-                worker,
-                task == null ? Resources.NONE : task.step.spec.reserved(),
-                wanted ? task : null,
-                nowMs);
+                running.run(), worker, reservation(worker, running.run().task()), wanted ? task : null, nowMs);
         run.phase = Phase.RUNNING;
         run.settledAtMs = nowMs;
         worker.occupy(run);
@@ -172,8 +170,14 @@
         }
     }
 
-    private @Nullable TaskState find(TaskName name) {
-        JobState job = open.get(name.jobId());
+    /** What a run that was found on a worker takes there; everything that is free if its job is not known. */
+    private Resources reservation(WorkerState worker, TaskName name) {
+        TaskState task = find(jobs, name);
+        return task == null ? worker.free() : task.step.spec.reserved();
+    }
+
+    private static @Nullable TaskState find(Map<String, JobState> among, TaskName name) {
+        JobState job = among.get(name.jobId());
         if (job == null
                 || name.occurrence() >= job.job.occurrences()
                 || name.step() >= job.job.steps().size()) {
@@ -223,7 +227,7 @@
 
     private void ended(WorkerState worker, EndedRun ended, long nowMs, long wallMs) {
         RunState run = worker.runs.get(ended.run());
-        TaskState task = find(ended.run().task());
+        TaskState task = find(open, ended.run().task());
         if (task != null) {
             task.attempts = Math.max(task.attempts, ended.run().attempt());
             task.step.highestAttempt = Math.max(task.step.highestAttempt, task.attempts);
--- /dev/null
+++ b/library/src/test/java/io/radishspindle/pool/core/PoolSimulation.java
@@ -0,0 +1,223 @@
+package io.radishspindle.pool.core;
+
+import io.radishspindle.model.Resources;
+import io.radishspindle.pool.core.PoolScheduler.Batch;
+import io.radishspindle.pool.model.JobPhase;
+import io.radishspindle.pool.model.JobProgress;
+import io.radishspindle.pool.model.PoolJob;
+import io.radishspindle.pool.model.RunEnd;
+import io.radishspindle.pool.model.StepSpec;
+import io.radishspindle.pool.model.WorkerEntry;
+import io.radishspindle.pool.port.AdviceService.Advice;
+import io.radishspindle.pool.port.WorkerControl.Answer;
+import io.radishspindle.pool.port.WorkerControl.HoldOrder;
+import io.radishspindle.pool.port.WorkerControl.StartOrder;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.function.ToLongFunction;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/**
+ * One pool with its owner, workers and store in virtual time, with faults by chance. Deterministic for a seed; not
+ * thread-safe.
+ */
+final class PoolSimulation {
+    private static final long STEP_MS = 5;
+    private static final long MAX_LATENCY_MS = 12;
+    private static final long WRITE_EVERY_MS = 40;
+
+    private record Event(long atMs, long order, Runnable action) {}
+
+    final SimHistory history = new SimHistory();
+    final Map<String, SimWorker> workers = new LinkedHashMap<>();
+    private final Map<String, PoolJob> storedJobs = new LinkedHashMap<>();
+    private final Map<String, JobProgress> storedProgress = new HashMap<>();
+    private final Set<String> storedCancels = new HashSet<>();
+    private final UniformRandomProvider random;
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(java.util.Comparator.comparingLong(Event::atMs).thenComparingLong(Event::order));
+    PoolScheduler scheduler = new PoolScheduler();
+    private long token = 1;
+    private long eventCount;
+    long nowMs = 1_000;
+    boolean storeDown;
+    /** Chance that an order is carried out seconds later and never answered. */
+    double lateOrders;
+    /** Chance that the answer to an order is lost. */
+    double lostAnswers;
+    /** Chance that a run fails. */
+    double failures;
+
+    ToLongFunction<StepSpec> workMs = StepSpec::estimateMs;
+    private long nextWriteMs;
+
+    PoolSimulation(long seed) {
+        random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+    }
+
+    UniformRandomProvider random() {
+        return random;
+    }
+
+    void addWorker(String id, Resources capacity, String rack) {
+        WorkerEntry entry =
+                new WorkerEntry(id, "pool", "10.0.0.1", 80, "dc", rack, false, -1, 500, capacity, List.of("a", rack));
+        workers.put(id, new SimWorker(entry, history));
+        scheduler.workerListed(entry, nowMs);
+        poll(id, scheduler, token);
+    }
+
+    void submit(PoolJob job) {
+        storedJobs.put(job.id(), job);
+        scheduler.submit(job);
+    }
+
+    void cancel(String jobId) {
+        storedCancels.add(jobId);
+        scheduler.cancel(jobId, nowMs);
+    }
+
+    /** Another VM claims the pool from what is stored; the previous owner falls silent. */
+    void changeOwner() {
+        token++;
+        scheduler = new PoolScheduler();
+        storedJobs
+                .values()
+                .forEach(job ->
+                        scheduler.load(job, storedProgress.get(job.id()), storedCancels.contains(job.id()), nowMs));
+        scheduler.beginRecovery(nowMs);
+        workers.values().forEach(worker -> scheduler.workerListed(worker.entry, nowMs));
+        workers.keySet().forEach(id -> poll(id, scheduler, token));
+    }
+
+    Optional<JobPhase> phase(String jobId) {
+        return scheduler.phase(jobId);
+    }
+
+    void runUntil(long untilMs) {
+        while (nowMs < untilMs) {
+            nowMs += STEP_MS;
+            workers.values().forEach(worker -> worker.advance(nowMs));
+            while (!events.isEmpty() && events.peek().atMs() <= nowMs) {
+                events.poll().action().run();
+            }
+            scheduler.schedule(nowMs, nowMs, 4).forEach(this::perform);
+            write();
+        }
+    }
+
+    private void after(long delayMs, Runnable action) {
+        events.add(new Event(nowMs + delayMs, eventCount++, action));
+    }
+
+    private long latency() {
+        return 1 + random.nextLong(MAX_LATENCY_MS);
+    }
+
+    private void write() {
+        if (storeDown || nowMs < nextWriteMs || !scheduler.hasDirty()) {
+            return;
+        }
+        nextWriteMs = nowMs + WRITE_EVERY_MS;
+        Map<String, Long> boots = scheduler.boots();
+        Batch batch = scheduler.takeDirty(20);
+        storedProgress.putAll(batch.progress());
+        scheduler.written(batch, boots);
+    }
+
+    private void poll(String id, PoolScheduler owner, long ownToken) {
+        if (owner != scheduler) {
+            return;
+        }
+        SimWorker worker = workers.get(id);
+        HoldOrder order = owner.holdOrder(id, nowMs, ownToken);
+        long sentAtMs = nowMs;
+        long waitMs = worker.hasEnds() ? 0 : Math.min(order.waitMs(), 200);
+        after(latency() + waitMs, () -> {
+            if (worker.silent) {
+                owner.holdFailed(id);
+                after(PoolTiming.HOLD_RETRY_MS, () -> poll(id, owner, ownToken));
+                return;
+            }
+            Answer answer = worker.hold(order, nowMs);
+            if (answer == Answer.ACCEPTED) {
+                var report = worker.report(nowMs);
+                after(latency(), () -> {
+                    if (owner == scheduler) {
+                        owner.holdAnswered(id, sentAtMs, report, nowMs, nowMs);
+                        long pauseMs = owner.awaitsDurability(id) ? PoolTiming.ACK_RETRY_MS : 1;
+                        after(pauseMs, () -> poll(id, owner, ownToken));
+                    }
+                });
+            }
+        });
+    }
+
+    private void perform(PoolAction action) {
+        PoolScheduler owner = scheduler;
+        if (action instanceof PoolAction.Start start) {
+            StartOrder order = start.order();
+            StartOrder fenced = new StartOrder(
+                    order.run(), order.payload(), order.leaseEndWorkerMs(), token, order.checkpoint(), order.ticket());
+            send(start.worker().id(), worker -> startOn(worker, fenced), answer -> {
+                if (owner == scheduler) {
+                    owner.startAnswered(start.worker().id(), order.run(), answer, nowMs);
+                }
+            });
+        } else if (action instanceof PoolAction.Stop stop) {
+            long sentToken = token;
+            send(stop.worker().id(), worker -> worker.stop(stop.run(), sentToken, nowMs), answer -> {
+                if (owner == scheduler) {
+                    owner.stopAnswered(stop.worker().id(), stop.run(), answer, nowMs);
+                }
+            });
+        } else if (action instanceof PoolAction.Advise ask) {
+            Map<String, String> tickets = new HashMap<>();
+            ask.workers().forEach(id -> tickets.put(id, "t"));
+            after(ask.expectedMs(), () -> owner.advised(ask.step(), ask.workers(), new Advice(tickets, 2_000), nowMs));
+        }
+    }
+
+    /** Null as an answer stands for none. */
+    private void send(
+            String id,
+            java.util.function.Function<SimWorker, Answer> order,
+            java.util.function.Consumer<@org.jspecify.annotations.Nullable Answer> onAnswer) {
+        SimWorker worker = workers.get(id);
+        long bootWallMs = worker.bootWallMs;
+        if (random.nextDouble() < lateOrders) {
+            // An order that a worker holds back is lost when the worker restarts.
+            after(2_000 + random.nextLong(10_000), () -> {
+                if (!worker.silent && worker.bootWallMs == bootWallMs) {
+                    order.apply(worker);
+                }
+            });
+            after(900, () -> onAnswer.accept(null));
+            return;
+        }
+        after(latency(), () -> {
+            if (worker.silent) {
+                after(900, () -> onAnswer.accept(null));
+                return;
+            }
+            Answer answer = order.apply(worker);
+            boolean lost = random.nextDouble() < lostAnswers;
+            after(lost ? 900 : latency(), () -> onAnswer.accept(lost ? null : answer));
+        });
+    }
+
+    private Answer startOn(SimWorker worker, StartOrder order) {
+        PoolJob job = storedJobs.get(order.run().task().jobId());
+        StepSpec step = job.steps().get(order.run().task().step());
+        RunEnd end = random.nextDouble() < failures ? RunEnd.FAILED : RunEnd.DONE;
+        long took = step.lasting() ? Long.MAX_VALUE / 4 : workMs.applyAsLong(step);
+        return worker.start(order, nowMs, step.perTask(), step.fills(), took, end);
+    }
+}
--- /dev/null
+++ b/library/src/test/java/io/radishspindle/pool/core/SimHistory.java
@@ -0,0 +1,58 @@
+package io.radishspindle.pool.core;
+
+import io.radishspindle.pool.model.Run;
+import io.radishspindle.pool.model.RunEnd;
+import io.radishspindle.pool.model.TaskName;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Checks what workers see: a task never runs twice at once, and never again after its success was acknowledged. Not
+ * thread-safe.
+ */
+final class SimHistory {
+    private final Map<TaskName, Set<String>> running = new HashMap<>();
+    private final Set<TaskName> acknowledgedSuccess = new HashSet<>();
+    final Set<TaskName> succeeded = new HashSet<>();
+    final List<String> violations = new ArrayList<>();
+    final Map<TaskName, Long> firstStartMs = new HashMap<>();
+    int starts;
+
+    void violation(String text) {
+        violations.add(text);
+    }
+
+    void started(Run run, String worker, long nowMs) {
+        starts++;
+        firstStartMs.putIfAbsent(run.task(), nowMs);
+        if (acknowledgedSuccess.contains(run.task())) {
+            violation(run + " started after its success was acknowledged");
+        }
+        Set<String> places = running.computeIfAbsent(run.task(), ignored -> new HashSet<>());
+        if (!places.isEmpty()) {
+            violation(run + " started at " + worker + " while it ran at " + places);
+        }
+        places.add(worker);
+    }
+
+    void ended(Run run, String worker, RunEnd end) {
+        running.getOrDefault(run.task(), Set.of()).remove(worker);
+        if (end == RunEnd.DONE) {
+            succeeded.add(run.task());
+        }
+    }
+
+    void vanished(Run run, String worker) {
+        running.getOrDefault(run.task(), new HashSet<>()).remove(worker);
+    }
+
+    void acknowledged(Run run, RunEnd end) {
+        if (end == RunEnd.DONE) {
+            acknowledgedSuccess.add(run.task());
+        }
+    }
+}
--- /dev/null
+++ b/library/src/test/java/io/radishspindle/pool/core/SimWorker.java
@@ -0,0 +1,171 @@
+package io.radishspindle.pool.core;
+
+import io.radishspindle.model.Resources;
+import io.radishspindle.pool.model.Run;
+import io.radishspindle.pool.model.RunEnd;
+import io.radishspindle.pool.model.TaskName;
+import io.radishspindle.pool.model.WorkerEntry;
+import io.radishspindle.pool.model.WorkerReport;
+import io.radishspindle.pool.model.WorkerReport.EndedRun;
+import io.radishspindle.pool.model.WorkerReport.RunningTask;
+import io.radishspindle.pool.port.WorkerControl.Answer;
+import io.radishspindle.pool.port.WorkerControl.HoldOrder;
+import io.radishspindle.pool.port.WorkerControl.StartOrder;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** A worker in virtual time that follows the platform's rules on fencing, leases and ends. Not thread-safe. */
+final class SimWorker {
+    /** A run with the time at which its work is done. */
+    static final class Active {
+        final Run run;
+        final Resources resources;
+        final boolean reservesProcessor;
+        final long endsAtMs;
+        final RunEnd end;
+        long stopsAtMs = Long.MAX_VALUE;
+
+        Active(Run run, Resources resources, boolean reservesProcessor, long endsAtMs, RunEnd end) {
+            this.run = run;
+            this.resources = resources;
+            this.reservesProcessor = reservesProcessor;
+            this.endsAtMs = endsAtMs;
+            this.end = end;
+        }
+    }
+
+    private static final long STOP_MS = 300;
+    private static final long CLOCK_OFFSET_MS = 100_000;
+    private static final double CLOCK_RATE = 0.985;
+
+    private final SimHistory history;
+    final Map<Run, Active> running = new LinkedHashMap<>();
+    private final List<EndedRun> ended = new ArrayList<>();
+    private final Map<TaskName, Integer> closedAttempts = new HashMap<>();
+    WorkerEntry entry;
+    boolean silent;
+    long bootWallMs;
+    private long fence;
+    private long leaseEnd;
+    private long lastSequence;
+
+    SimWorker(WorkerEntry entry, SimHistory history) {
+        this.entry = entry;
+        this.history = history;
+        bootWallMs = entry.bootWallMs();
+    }
+
+    long clock(long nowMs) {
+        return CLOCK_OFFSET_MS + (long) (nowMs * CLOCK_RATE);
+    }
+
+    /** Loses everything and starts again under the same id. */
+    void restart(long nowMs) {
+        running.keySet().forEach(run -> history.vanished(run, entry.id()));
+        running.clear();
+        ended.clear();
+        closedAttempts.clear();
+        fence = 0;
+        leaseEnd = 0;
+        lastSequence = 0;
+        bootWallMs = nowMs + 1;
+    }
+
+    Answer start(StartOrder order, long nowMs, Resources resources, boolean fills, long workMs, RunEnd end) {
+        if (order.fencingToken() < fence) {
+            return Answer.FENCED;
+        }
+        fence = order.fencingToken();
+        if (running.containsKey(order.run())) {
+            return Answer.ACCEPTED;
+        }
+        if (order.leaseEndWorkerMs() <= clock(nowMs)) {
+            return Answer.TOO_LATE;
+        }
+        leaseEnd = Math.max(leaseEnd, order.leaseEndWorkerMs());
+        if (order.run().attempt() <= closedAttempts.getOrDefault(order.run().task(), 0)) {
+            return Answer.OUTDATED;
+        }
+        Active active = new Active(order.run(), resources, !fills, nowMs + workMs, end);
+        running.put(order.run(), active);
+        history.started(order.run(), entry.id(), nowMs);
+        checkRoom();
+        return Answer.ACCEPTED;
+    }
+
+    private void checkRoom() {
+        Resources sum = Resources.NONE;
+        for (Active active : running.values()) {
+            Resources r = active.resources;
+            sum = sum.plus(active.reservesProcessor ? r : new Resources(0, r.memoryMib(), r.accelerators()));
+        }
+        if (!sum.fitsIn(entry.capacity())) {
+            history.violation(
+                    "worker " + entry.id() + " holds " + sum + " of " + entry.capacity() + ": " + running.keySet());
+        }
+    }
+
+    Answer stop(Run run, long token, long nowMs) {
+        if (token < fence) {
+            return Answer.FENCED;
+        }
+        fence = token;
+        Active active = running.get(run);
+        if (active == null) {
+            closedAttempts.merge(run.task(), run.attempt(), Math::max);
+        } else {
+            active.stopsAtMs = Math.min(active.stopsAtMs, nowMs + STOP_MS);
+        }
+        return Answer.ACCEPTED;
+    }
+
+    Answer hold(HoldOrder order, long nowMs) {
+        if (order.fencingToken() < fence) {
+            return Answer.FENCED;
+        }
+        fence = order.fencingToken();
+        leaseEnd = Math.max(leaseEnd, order.leaseEndWorkerMs());
+        ended.removeIf(end -> {
+            boolean acknowledged = end.sequence() <= order.acknowledged();
+            if (acknowledged) {
+                history.acknowledged(end.run(), end.end());
+            }
+            return acknowledged;
+        });
+        return Answer.ACCEPTED;
+    }
+
+    boolean hasEnds() {
+        return !ended.isEmpty();
+    }
+
+    WorkerReport report(long nowMs) {
+        List<RunningTask> present = new ArrayList<>();
+        running.values()
+                .forEach(active -> present.add(new RunningTask(active.run, "", 100, active.resources.milliCores())));
+        return new WorkerReport(bootWallMs, clock(nowMs), present, List.copyOf(ended));
+    }
+
+    void advance(long nowMs) {
+        boolean lapsed = !running.isEmpty() && clock(nowMs) >= leaseEnd;
+        for (Active active : List.copyOf(running.values())) {
+            if (nowMs >= active.endsAtMs) {
+                end(active.run, active.end);
+            } else if (nowMs >= active.stopsAtMs) {
+                end(active.run, RunEnd.STOPPED);
+            } else if (lapsed) {
+                end(active.run, RunEnd.LEASE_EXPIRED);
+            }
+        }
+    }
+
+    private void end(Run run, RunEnd end) {
+        running.remove(run);
+        closedAttempts.merge(run.task(), run.attempt(), Math::max);
+        ended.add(new EndedRun(++lastSequence, run, end, ""));
+        history.ended(run, entry.id(), end);
+    }
+}
--- /dev/null
+++ b/library/src/test/java/io/radishspindle/pool/core/package-info.java
@@ -0,0 +1,3 @@
+/** Tests of pool scheduling against simulated workers in virtual time. */
+@org.jspecify.annotations.NullMarked
+package io.radishspindle.pool.core;
