Count failed runs once; adaptive holds; store calls relayed by peers; usable workers only for advice

Failed attempts are now a set. A renewed ticket went to workers that do not answer, as they look free. Holds waited 1.2 s whatever was due, so that a lost answer delayed an end by up to 1.9 s. A hold after a failed one could acknowledge ends of a new life of the worker.

--- a/library/src/main/java/io/radishspindle/pool/core/AdvicePlanner.java
+++ b/library/src/main/java/io/radishspindle/pool/core/AdvicePlanner.java
@@ -26,9 +26,9 @@
         if (policy == null || step.adviceInFlight || step.waitingTasks() == 0) {
             return Optional.empty();
         }
-        List<String> named = unasked(step, workers, placer);
+        List<String> named = unasked(step, workers, placer, nowMs);
         if (named.isEmpty()) {
-            named = expiring(step, workers, placer, nowMs + policy.callMs(MIN_CANDIDATES));
+            named = expiring(step, workers, placer, nowMs, nowMs + policy.callMs(MIN_CANDIDATES));
         }
         if (named.isEmpty()) {
             return Optional.empty();
@@ -37,11 +37,11 @@
         return Optional.of(new PoolAction.Advise(step.name(), List.copyOf(named), policy.callMs(named.size())));
     }
 
-    private static List<String> unasked(StepState step, Collection<WorkerState> workers, Placer placer) {
+    private static List<String> unasked(StepState step, Collection<WorkerState> workers, Placer placer, long nowMs) {
         List<String> named = new ArrayList<>();
         for (WorkerState worker : workers) {
             if (named.size() < AdviceService.MAX_WORKERS
-                    && worker.listed
+                    && worker.isUsable(nowMs)
                     && !step.askedWorkers.contains(worker.id())
                     && placer.mayRun(step, worker)) {
                 named.add(worker.id());
@@ -50,12 +50,14 @@
         return named;
     }
 
-    private static List<String> expiring(StepState step, Collection<WorkerState> workers, Placer placer, long untilMs) {
+    private static List<String> expiring(
+            StepState step, Collection<WorkerState> workers, Placer placer, long nowMs, long untilMs) {
         List<WorkerState> approved = new ArrayList<>();
         int fresh = 0;
         for (WorkerState worker : workers) {
             Ticket ticket = step.tickets.get(worker.id());
-            if (ticket == null || !placer.mayRun(step, worker)) {
+            // A worker that can't be used now would otherwise look free and take the place of others.
+            if (ticket == null || !worker.isUsable(nowMs) || !placer.mayRun(step, worker)) {
                 continue;
             }
             if (ticket.validUntilMs() > untilMs && ticket.bootWallMs() == worker.bootWallMs) {
--- a/library/src/main/java/io/radishspindle/pool/core/DurationStats.java
+++ b/library/src/main/java/io/radishspindle/pool/core/DurationStats.java
@@ -20,10 +20,19 @@
         }
     };
 
+    /** Expected duration of a task of the step, in milliseconds. */
+    long expectedMs(StepState step) {
+        return (long) (step.spec.estimateMs() * ratioByImage.getOrDefault(image(step), 1.0));
+    }
+
+    private static String image(StepState step) {
+        return step.spec.image().isEmpty() ? step.job.job.queue() : step.spec.image();
+    }
+
     /** Duration against what is usual for the image; 1 is usual, 2 twice as long. */
     double relative(StepState step, long tookMs) {
         double ratio = Math.max(1, tookMs) / (double) Math.max(1, step.spec.estimateMs());
-        String image = step.spec.image().isEmpty() ? step.job.job.queue() : step.spec.image();
+        String image = image(step);
         double usual = ratioByImage.getOrDefault(image, ratio);
         ratioByImage.put(image, usual + WEIGHT * (ratio - usual));
         return ratio / Math.max(0.01, usual);
--- a/library/src/main/java/io/radishspindle/pool/core/JobState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/JobState.java
@@ -64,13 +64,12 @@
 
     /** Milliseconds left until the objective is missed if everything that remains runs as estimated. */
     long slackMs(StepState step, long wallMs) {
-        long objectiveMs = (long) (job.slowdownFactor() * chainMs) + job.objectiveMs();
-        return dueWallMs(step.occurrence) + objectiveMs - wallMs - remainingChainMs(step);
+        return dueWallMs(step.occurrence) + objectiveMs() - wallMs - remainingChainMs(step);
     }
 
     /** 0 while the objective can be met, 1 when late, 2 when no value is left. */
     int lateness(StepState step, long wallMs) {
-        long objectiveMs = (long) (job.slowdownFactor() * chainMs) + job.objectiveMs();
+        long objectiveMs = objectiveMs();
         long ageMs = wallMs - dueWallMs(step.occurrence);
         if (ageMs + remainingChainMs(step) > WORTHLESS_FACTOR * objectiveMs) {
             return 2;
@@ -107,6 +106,23 @@
         return job.steps().get(index).estimateMs() + adviceMs;
     }
 
+    /** Times of the steps and the objective, for the log. */
+    String timeline() {
+        StringBuilder text = new StringBuilder("objective:").append(objectiveMs());
+        long zeroMs = steps.get(0).firstReadyMs;
+        for (StepState step : steps) {
+            text.append(' ').append(step.tasks.size()).append(':');
+            text.append(step.firstReadyMs - zeroMs).append('/');
+            text.append(step.lastFirstStartMs - zeroMs).append('/');
+            text.append(step.doneAtMs - zeroMs);
+        }
+        return text.toString();
+    }
+
+    private long objectiveMs() {
+        return (long) (job.slowdownFactor() * chainMs) + job.objectiveMs();
+    }
+
     /** What must be written so that another owner can continue. */
     JobProgress progress() {
         List<StepProgress> list = new ArrayList<>();
@@ -117,9 +133,9 @@
                 if (task.done) {
                     done.set(task.name.index());
                 }
-                if (task.failures > 0 && !step.spec.lasting()) {
+                for (int attempt : task.failedAttempts) {
                     failures.add(task.name.index());
-                    failures.add(task.failures);
+                    failures.add(attempt);
                 }
             }
             if (step.highestAttempt > 0) {
@@ -144,9 +160,7 @@
                 step.doneTasks++;
             });
             for (int i = 0; i + 1 < saved.failures().length; i += 2) {
-                TaskState task = step.tasks.get(saved.failures()[i]);
-                task.failures = saved.failures()[i + 1];
-                step.gangFailures = Math.max(step.gangFailures, task.failures);
+                step.tasks.get(saved.failures()[i]).failedAttempts.add(saved.failures()[i + 1]);
             }
         }
     }
--- a/library/src/main/java/io/radishspindle/pool/core/PoolAction.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolAction.java
@@ -19,8 +19,15 @@
     /** Ask which workers may run a step. */
     record Advise(String step, List<String> workers, long expectedMs) implements PoolAction {}
 
-    /** A final decision on a job, for the log. */
-    record JobEnded(String jobId, String queue, String phase, String reason) implements PoolAction {}
+    /**
+     * A final decision on a job, for the log.
+     *
+     * @param ageMs milliseconds since the job was accepted
+     * @param timeline for each step: number of tasks, then the milliseconds of its readiness, of the last first start
+     *     of a task, and of its end, counted from the readiness of the first step
+     */
+    record JobEnded(String jobId, String queue, String phase, String reason, long ageMs, String timeline)
+            implements PoolAction {}
 
     /** A worker's standing has changed, for the log. */
     record WorkerChanged(String workerId, String change, String reason) implements PoolAction {}
--- a/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
@@ -148,7 +148,8 @@
         boolean renew = !worker.runs.isEmpty() && !worker.lastHoldFailed && hasQuorum(nowMs);
         long leaseEnd = renew ? worker.grantLease(nowMs) : 0;
         boolean mayWait = worker.seenSequence == worker.durableSequence && !worker.lastHoldFailed;
-        return new HoldOrder(leaseEnd, fencingToken, worker.durableSequence, mayWait ? PoolTiming.HOLD_WAIT_MS : 0);
+        return new HoldOrder(
+                leaseEnd, fencingToken, worker.durableSequence, mayWait ? events.holdWaitMs(worker, nowMs) : 0);
     }
 
     /** Whether ends of the worker wait to become durable, so that a waiting hold would return at once. */
@@ -264,6 +265,7 @@
                 if (!step.isDone() && job.isReleased(step, wallMs) && step.waitingTasks() > 0) {
                     if (step.readySinceMs < 0) {
                         step.readySinceMs = nowMs;
+                        step.firstReadyMs = nowMs;
                     }
                     ready.add(step);
                 }
--- a/library/src/main/java/io/radishspindle/pool/core/PoolTiming.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolTiming.java
@@ -2,8 +2,8 @@
 
 /** Times and limits of pool scheduling. Constants only; thread-safe. */
 public final class PoolTiming {
-    /** How far ahead runs are leased, in milliseconds: covers the change of an owner, which takes about 2 s. */
-    public static final long LEASE_MS = 4_500;
+    /** How far ahead runs are leased, in milliseconds: covers a restart of every VM, which takes 4 to 5 s. */
+    public static final long LEASE_MS = 5_500;
 
     /** Slowest rate of a worker's clock against ours; the platform allows a deviation of 2%. */
     public static final double SLOWEST_CLOCK = 0.98;
@@ -17,6 +17,12 @@
     /** How long a hold waits for an end, in milliseconds; a third of the lease leaves time for two repeats. */
     public static final long HOLD_WAIT_MS = 1_200;
 
+    /** Shortest wait of a hold, in milliseconds, when an end is overdue. */
+    public static final long MIN_HOLD_WAIT_MS = 200;
+
+    /** A hold waits this much longer than until the next end is due, in milliseconds. */
+    public static final long HOLD_MARGIN_MS = 80;
+
     /** Pause before a failed hold is repeated, in milliseconds. */
     public static final long HOLD_RETRY_MS = 120;
 
--- a/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
+++ b/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
@@ -83,6 +83,18 @@
         worker.durableSequence = 0;
     }
 
+    /** How long a hold should wait so that its loss is noticed soon after the next end is due, in milliseconds. */
+    long holdWaitMs(WorkerState worker, long nowMs) {
+        long waitMs = PoolTiming.HOLD_WAIT_MS;
+        for (RunState run : worker.runs.values()) {
+            if (run.task != null && !run.task.step.spec.lasting()) {
+                long dueMs = run.sentAtMs + durations.expectedMs(run.task.step) - nowMs;
+                waitMs = Math.min(waitMs, Math.max(PoolTiming.MIN_HOLD_WAIT_MS, dueMs + PoolTiming.HOLD_MARGIN_MS));
+            }
+        }
+        return waitMs;
+    }
+
     void leaseEnded(WorkerState worker, long nowMs, long wallMs) {
         if (!worker.runs.isEmpty()) {
             actions.add(new PoolAction.WorkerChanged(worker.id(), "lost", "silent until all leases had ended"));
@@ -277,7 +289,7 @@
             return;
         }
         if (end == RunEnd.DONE) {
-            succeeded(task, wallMs);
+            succeeded(task, nowMs, wallMs);
         } else if (end == RunEnd.FAILED) {
             failed(task, attempt, wallMs);
         }
@@ -286,7 +298,7 @@
         }
     }
 
-    private void succeeded(TaskState task, long wallMs) {
+    private void succeeded(TaskState task, long nowMs, long wallMs) {
         StepState step = task.step;
         if (step.spec.gang()) {
             // The members end together, so one success stands for all.
@@ -294,6 +306,9 @@
         } else {
             markDone(task);
         }
+        if (step.isDone()) {
+            step.doneAtMs = nowMs;
+        }
         dirty.add(step.job);
         boolean complete = step.job.steps.stream().allMatch(StepState::isDone);
         if (complete) {
@@ -314,19 +329,15 @@
         if (task.done) {
             return;
         }
-        if (step.spec.gang()) {
-            if (attempt <= step.countedGangAttempt) {
-                return;
-            }
-            step.countedGangAttempt = attempt;
-            step.gangFailures++;
-            step.tasks.forEach(member -> member.failures = step.gangFailures);
-        } else {
-            task.failures++;
+        // All members of a gang fail together, so that one of them counts for the gang.
+        TaskState counter = step.spec.gang() ? step.tasks.get(0) : task;
+        if (!counter.failedAttempts.add(attempt)) {
+            return;
         }
         dirty.add(job);
-        if (task.failures >= job.job.maxAttempts()) {
-            endJob(job, JobPhase.FAILED, wallMs, "task " + task.name + " has failed " + task.failures + " times");
+        int failures = counter.failedAttempts.size();
+        if (failures >= job.job.maxAttempts()) {
+            endJob(job, JobPhase.FAILED, wallMs, "task " + task.name + " has failed " + failures + " times");
         }
     }
 
@@ -337,7 +348,13 @@
         if (phase != JobPhase.CANCELLED) {
             dirty.add(job);
         }
-        actions.add(new PoolAction.JobEnded(job.job.id(), job.job.queue(), phase.name(), reason));
+        actions.add(new PoolAction.JobEnded(
+                job.job.id(),
+                job.job.queue(),
+                phase.name(),
+                reason,
+                wallMs - job.job.acceptedWallMs(),
+                job.timeline()));
         for (StepState step : job.steps) {
             for (TaskState task : step.tasks) {
                 if (task.run != null && phase != JobPhase.COMPLETED) {
--- a/library/src/main/java/io/radishspindle/pool/core/SchedulingPass.java
+++ b/library/src/main/java/io/radishspindle/pool/core/SchedulingPass.java
@@ -106,6 +106,9 @@
         StepState step = task.step;
         RunState run = new RunState(new Run(task.name, attempt), worker, step.spec.reserved(), task, nowMs);
         task.run = run;
+        if (task.attempts == 0) {
+            step.lastFirstStartMs = nowMs;
+        }
         task.attempts = attempt;
         step.highestAttempt = Math.max(step.highestAttempt, attempt);
         worker.occupy(run);
--- a/library/src/main/java/io/radishspindle/pool/core/StepState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/StepState.java
@@ -28,12 +28,12 @@
     boolean adviceInFlight;
     int doneTasks;
     int highestAttempt;
-    /** Runs of the gang that ended as failed. */
-    int gangFailures;
-    /** Attempt whose failure has been counted, so that members don't count it again. */
-    int countedGangAttempt;
-
     long readySinceMs = -1;
+    /** For the log: when the step first became ready, when its last task was first started, when it was done. */
+    long firstReadyMs = -1;
+
+    long lastFirstStartMs = -1;
+    long doneAtMs = -1;
 
     StepState(JobState job, int occurrence, int index, StepSpec spec) {
         this.job = job;
--- a/library/src/main/java/io/radishspindle/pool/core/TaskState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/TaskState.java
@@ -1,6 +1,8 @@
 package io.radishspindle.pool.core;
 
 import io.radishspindle.pool.model.TaskName;
+import java.util.Set;
+import java.util.TreeSet;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -15,7 +17,8 @@
     /** Highest number of a start that is known. */
     int attempts;
 
-    int failures;
+    /** Attempts that ended as failed; a set, as an end is listed again after a change of the owner. */
+    final Set<Integer> failedAttempts = new TreeSet<>();
     /** Ends in a row that were not successes, for the restart pause of lasting tasks. */
     int endsInRow;
 
--- a/library/src/main/java/io/radishspindle/pool/model/JobProgress.java
+++ b/library/src/main/java/io/radishspindle/pool/model/JobProgress.java
@@ -17,7 +17,7 @@
      *
      * @param done bit set of the tasks that have succeeded
      * @param highestAttempt highest number of a start in the step
-     * @param failures pairs of task index and number of runs that ended as failed
+     * @param failures pairs of task index and attempt that ended as failed
      */
     public record StepProgress(int occurrence, int step, long[] done, int highestAttempt, int[] failures) {}
 }
--- a/library/src/main/java/io/radishspindle/pool/runtime/OwnerElection.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/OwnerElection.java
@@ -30,6 +30,8 @@
 final class OwnerElection {
     /** Head start of a better candidate, in milliseconds: several times a write to the store. */
     private static final long RANK_DELAY_MS = 250;
+    /** Wait before the first candidate claims, in milliseconds, so that VMs that start together see each other. */
+    private static final long FIRST_CLAIM_MS = 100;
     /** Time between pings of an owner by its first stand-by, in milliseconds. */
     private static final long PING_MS = 250;
 
@@ -103,7 +105,7 @@
         Optional<Ownership> owner = view.owner(pool);
         if (owner.isEmpty()) {
             int rank = candidates(pool, "").indexOf(self.vmId());
-            if (rank >= 0 && view.ownerlessMs(pool, nowMs) >= rank * RANK_DELAY_MS) {
+            if (rank >= 0 && view.ownerlessMs(pool, nowMs) >= FIRST_CLAIM_MS + rank * RANK_DELAY_MS) {
                 claim(pool, 0, "no owner");
             }
             return;
@@ -159,6 +161,10 @@
                 owning.add(ownership.owner().vmId());
             }
         });
+        if (held.keySet().stream().anyMatch(other -> !other.equals(pool))
+                || claiming.stream().anyMatch(other -> !other.equals(pool))) {
+            owning.add(self.vmId());
+        }
         List<String> order = new ArrayList<>(live.keySet());
         order.remove(excluded);
         order.sort(Comparator.comparing((String vm) -> owning.contains(vm))
--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolNode.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolNode.java
@@ -25,6 +25,7 @@
 import io.radishspindle.protocol.message.PoolMessages.PoolPong;
 import io.radishspindle.protocol.message.PoolMessages.QueryPending;
 import io.radishspindle.protocol.message.PoolMessages.QueryPoolJob;
+import io.radishspindle.protocol.message.PoolMessages.RelayStore;
 import io.vavr.control.Either;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -44,12 +45,14 @@
  */
 public final class PoolNode {
     private static final long ELECTION_TICK_MS = 100;
+    /** Pause between watches of the workers, in milliseconds, so that several changes arrive with one call. */
+    private static final long WORKER_PAUSE_MS = 100;
     /** After this long without an answer of the store the VM reports itself not ready, in milliseconds. */
     private static final long STORE_SILENT_MS = 1_800;
 
     private final Vertx vertx;
     private final Clock clock;
-    private final SharedStore store;
+    private final RelayedStore store;
     private final PlatformCodec codec;
     private final WorkerControl control;
     private final AdviceService adviceService;
@@ -63,7 +66,7 @@
     private final JobIntake intake;
     private final JobDirectory directory;
     private final PrefixWatch configWatch;
-    private final PrefixWatch workerWatch;
+    private @Nullable PrefixWatch workerWatch;
     private final PrefixWatch controlWatch;
     private final Map<String, PoolOwner> owned = new HashMap<>();
     private final Map<String, WorkerEntry> workers = new HashMap<>();
@@ -74,7 +77,7 @@
     public PoolNode(
             Vertx vertx,
             Clock clock,
-            SharedStore store,
+            SharedStore platformStore,
             PlatformCodec codec,
             WorkerControl control,
             AdviceService adviceService,
@@ -82,7 +85,6 @@
             MetricRegistry metrics) {
         this.vertx = vertx;
         this.clock = clock;
-        this.store = store;
         this.codec = codec;
         this.control = control;
         this.adviceService = adviceService;
@@ -92,6 +94,7 @@
         // Every VM of the deployment can reach the store, so the key only keeps out stray connections.
         messenger =
                 new TcpPeerMessenger(vertx, clock, self.vmId(), self.host(), self.peerPort(), "radishspindle", view);
+        store = new RelayedStore(clock, platformStore, messenger, this::otherVms);
         lease = new NodeLease(vertx, store, self);
         election = new OwnerElection(clock, store, view, self, lease, messenger, this::claimed);
         advice = new AdviceDispatcher(adviceService, messenger, self, view);
@@ -99,8 +102,6 @@
         directory = new JobDirectory(store, messenger, view, self, owned);
         configWatch =
                 new PrefixWatch(vertx, clock, store, codec.configKey(), 0, new ConfigListener(), this::storeAnswered);
-        workerWatch = new PrefixWatch(
-                vertx, clock, store, codec.workerPrefix(), 50, new WorkerListener(), this::storeAnswered);
         controlWatch = new PrefixWatch(vertx, clock, store, StoreKeys.CONTROL, 20, view, this::storeAnswered);
     }
 
@@ -109,7 +110,6 @@
         registerHandlers();
         configWatch.start();
         controlWatch.start();
-        workerWatch.start();
         lease.start();
         vertx.setPeriodic(ELECTION_TICK_MS, ignored -> tick());
         return messenger.start();
@@ -117,11 +117,18 @@
 
     private void tick() {
         PoolConfig current = config;
-        if (current != null && controlWatch.isListed() && workerWatch.isListed() && !draining) {
+        if (current != null && controlWatch.isListed() && !draining) {
             election.tick(current.pools());
         }
     }
 
+    private List<String> otherVms() {
+        return view.live().keySet().stream()
+                .filter(vm -> !vm.equals(self.vmId()))
+                .sorted()
+                .toList();
+    }
+
     private void storeAnswered(boolean answered) {
         metrics.counter(answered ? "store.answers" : "store.failures").inc();
     }
@@ -143,6 +150,7 @@
         List<Future<Void>> releases =
                 owned.values().stream().map(PoolOwner::release).toList();
         owned.clear();
+        watchWorkers();
         Logger.info("event=draining vm={} pools_released={}", self.vmId(), releases.size());
         return Future.join(releases).mapEmpty();
     }
@@ -188,12 +196,34 @@
         owner.start(workers.values().stream()
                 .filter(worker -> worker.pool().equals(pool))
                 .toList());
+        watchWorkers();
+    }
+
+    /** Only an owner needs the workers, so that other VMs save the calls. */
+    private void watchWorkers() {
+        PrefixWatch watch = workerWatch;
+        if (owned.isEmpty() && watch != null) {
+            watch.close();
+            workerWatch = null;
+            workers.clear();
+        } else if (!owned.isEmpty() && watch == null) {
+            workerWatch = new PrefixWatch(
+                    vertx,
+                    clock,
+                    store,
+                    codec.workerPrefix(),
+                    WORKER_PAUSE_MS,
+                    new WorkerListener(),
+                    this::storeAnswered);
+            workerWatch.start();
+        }
     }
 
     private void deposed(String pool, String reason) {
         Logger.warn("event=pool-lost pool={} vm={} reason=\"{}\"", pool, self.vmId(), reason);
         owned.remove(pool);
         election.released(pool);
+        watchWorkers();
     }
 
     private void registerHandlers() {
@@ -217,6 +247,7 @@
                 (vm, message) -> answer(new PendingJobs(ownerOf(message.pool())
                         .flatMap(owner -> owner.pending(message.queue()))
                         .orElse(-1))));
+        messenger.handle(RelayStore.class, (vm, message) -> store.serve(message).map(Either::narrow));
         messenger.handle(AskAdvice.class, (vm, message) -> adviceService
                 .advise(message.step(), message.workers(), message.timeoutMs())
                 .map(result -> result.map(given -> new AdviceGiven(given.tickets(), given.validMs()))));
--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
@@ -219,11 +219,13 @@
             metrics.counter("pool.jobs." + ended.phase().toLowerCase(java.util.Locale.ROOT))
                     .inc();
             Logger.info(
-                    "event=job-ended job={} queue={} phase={} token={} reason=\"{}\"",
+                    "event=job-ended job={} queue={} phase={} token={} age_ms={} steps=\"{}\" reason=\"{}\"",
                     ended.jobId(),
                     ended.queue(),
                     ended.phase(),
                     token,
+                    ended.ageMs(),
+                    ended.timeline(),
                     ended.reason());
         } else if (action instanceof PoolAction.WorkerChanged changed) {
             Logger.info(
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/pool/runtime/RelayedStore.java
@@ -0,0 +1,219 @@
+package io.radishspindle.pool.runtime;
+
+import io.radishspindle.error.ErrorCode;
+import io.radishspindle.error.Failure;
+import io.radishspindle.platform.Clock;
+import io.radishspindle.pool.port.SharedStore;
+import io.radishspindle.protocol.PeerMessenger;
+import io.radishspindle.protocol.message.PoolMessages.RelayStore;
+import io.radishspindle.protocol.message.PoolMessages.RelayedItem;
+import io.radishspindle.protocol.message.PoolMessages.StoreRelayed;
+import io.vavr.control.Either;
+import io.vertx.core.Future;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.tinylog.Logger;
+
+/**
+ * The shared store as a VM reaches it: directly, or through another VM while the store turns this one away. Belongs
+ * to one event loop.
+ *
+ * <p>Invariant: a call is repeated through another VM only if it surely had no effect; callers settle open outcomes
+ * themselves. Watches and the creation of leases always go directly.
+ */
+final class RelayedStore implements SharedStore {
+    /** Limit of a relayed call, in milliseconds: a call to the store and a round trip between regions. */
+    private static final long RELAY_TIMEOUT_MS = 1_300;
+    /** Peers that are asked for one call. */
+    private static final int MAX_PEERS = 2;
+
+    private final Clock clock;
+    private final SharedStore direct;
+    private final PeerMessenger messenger;
+    private final Supplier<List<String>> peers;
+    private long lastSuccessMs = Long.MIN_VALUE + 1;
+    private long lastFailureMs = Long.MIN_VALUE;
+    private int rotation;
+    private boolean relaying;
+
+    /** @param peers ids of the other VMs */
+    RelayedStore(Clock clock, SharedStore direct, PeerMessenger messenger, Supplier<List<String>> peers) {
+        this.clock = clock;
+        this.direct = direct;
+        this.messenger = messenger;
+        this.peers = peers;
+    }
+
+    /** Whether the last direct call got no useful answer. */
+    boolean isDirectPathDown() {
+        return lastFailureMs > lastSuccessMs;
+    }
+
+    @Override
+    public Future<Either<Failure, Optional<Item>>> get(String key) {
+        return call(
+                () -> direct.get(key),
+                new RelayStore("get", key, 0, Map.of(), List.of(), List.of()),
+                reply -> reply.items().stream().findFirst().map(RelayedStore::item));
+    }
+
+    @Override
+    public Future<Either<Failure, Listing>> list(String prefix) {
+        return call(
+                () -> direct.list(prefix),
+                new RelayStore("list", prefix, 0, Map.of(), List.of(), List.of()),
+                reply -> new Listing(
+                        reply.items().stream().map(RelayedStore::item).toList(), reply.revision()));
+    }
+
+    @Override
+    public Future<Either<Failure, Listing>> watch(String prefix, long afterRevision, long waitMs) {
+        return direct.watch(prefix, afterRevision, waitMs).onSuccess(this::observe);
+    }
+
+    @Override
+    public Future<Either<Failure, TxnResult>> transact(Txn txn) {
+        List<RelayedItem> writes = txn.writes().stream()
+                .map(write -> new RelayedItem(write.key(), write.value(), 0, write.lease()))
+                .toList();
+        return call(
+                () -> direct.transact(txn),
+                new RelayStore("transact", "", 0, txn.expected(), writes, txn.removals()),
+                reply -> new TxnResult(
+                        reply.applied(),
+                        reply.revision(),
+                        reply.items().stream().map(RelayedStore::item).toList()));
+    }
+
+    @Override
+    public Future<Either<Failure, Long>> createLease(long ttlMs) {
+        return direct.createLease(ttlMs).onSuccess(this::observe);
+    }
+
+    /** Also probes the direct path, as it is called several times a second. */
+    @Override
+    public Future<Either<Failure, Long>> renewLease(long lease) {
+        RelayStore relay = new RelayStore("renew", "", lease, Map.of(), List.of(), List.of());
+        return direct.renewLease(lease).onSuccess(this::observe).compose(result -> {
+            boolean open = result.isLeft() && result.getLeft().code() != ErrorCode.NOT_FOUND;
+            return open
+                    ? relay(relay, 0, result.getLeft()).map(reply -> reply.map(StoreRelayed::revision))
+                    : Future.succeededFuture(result);
+        });
+    }
+
+    @Override
+    public Future<Either<Failure, Long>> endLease(long lease) {
+        return direct.endLease(lease);
+    }
+
+    private <T> Future<Either<Failure, T>> call(
+            Supplier<Future<Either<Failure, T>>> directCall, RelayStore relay, Function<StoreRelayed, T> decoder) {
+        if (isDirectPathDown()) {
+            Failure unreachable = Failure.retryable(
+                    ErrorCode.STORE_UNAVAILABLE, "store." + relay.operation(), "store", "store is away", 1_000);
+            return relay(relay, 0, unreachable).compose(reply -> {
+                boolean notRun = reply.isLeft() && reply.getLeft().notRun();
+                return notRun && peers.get().isEmpty()
+                        ? directCall.get().onSuccess(this::observe)
+                        : Future.succeededFuture(reply.map(decoder));
+            });
+        }
+        return directCall.get().onSuccess(this::observe).compose(result -> {
+            boolean refused = result.isLeft()
+                    && result.getLeft().notRun()
+                    && result.getLeft().code() == ErrorCode.STORE_UNAVAILABLE;
+            return refused
+                    ? relay(relay, 0, result.getLeft()).map(reply -> reply.map(decoder))
+                    : Future.succeededFuture(result);
+        });
+    }
+
+    private Future<Either<Failure, StoreRelayed>> relay(RelayStore message, int tries, Failure cause) {
+        List<String> candidates = peers.get();
+        if (candidates.isEmpty() || tries >= MAX_PEERS) {
+            return Future.succeededFuture(Either.left(cause));
+        }
+        String peer = candidates.get(Math.floorMod(rotation++, candidates.size()));
+        return messenger
+                .request(peer, message, StoreRelayed.class, RELAY_TIMEOUT_MS)
+                .compose(reply -> reply.isLeft() && reply.getLeft().notRun() && isOutage(reply.getLeft())
+                        ? relay(message, tries + 1, cause)
+                        : Future.succeededFuture(reply));
+    }
+
+    private static boolean isOutage(Failure failure) {
+        return failure.code() == ErrorCode.STORE_UNAVAILABLE
+                || failure.code() == ErrorCode.PEER_UNREACHABLE
+                || failure.code() == ErrorCode.OVERLOADED;
+    }
+
+    private void observe(Either<Failure, ?> result) {
+        boolean failed = result.isLeft()
+                && (result.getLeft().code() == ErrorCode.STORE_UNAVAILABLE
+                        || result.getLeft().code() == ErrorCode.OUTCOME_UNKNOWN);
+        if (failed) {
+            lastFailureMs = clock.nowMs();
+        } else {
+            lastSuccessMs = clock.nowMs();
+        }
+        if (relaying != isDirectPathDown()) {
+            relaying = isDirectPathDown();
+            Logger.info("event=store-path path={}", relaying ? "peers" : "direct");
+        }
+    }
+
+    /** Makes a relayed call for another VM; never relays further. */
+    Future<Either<Failure, StoreRelayed>> serve(RelayStore message) {
+        if (isDirectPathDown()) {
+            return Future.succeededFuture(Either.left(Failure.retryable(
+                    ErrorCode.STORE_UNAVAILABLE, "store.relay", "store", "store is away here, too", 1_000)));
+        }
+        return switch (message.operation()) {
+            case "get" ->
+                direct.get(message.key())
+                        .map(result -> result.map(item -> new StoreRelayed(
+                                true,
+                                0,
+                                item.map(RelayedStore::relayed).stream().toList())));
+            case "list" ->
+                direct.list(message.key())
+                        .map(result -> result.map(
+                                listing -> new StoreRelayed(true, listing.revision(), relayed(listing.items()))));
+            case "renew" ->
+                direct.renewLease(message.number())
+                        .map(result -> result.map(ttlMs -> new StoreRelayed(true, ttlMs, List.of())));
+            case "transact" ->
+                direct.transact(txn(message))
+                        .map(result -> result.map(
+                                done -> new StoreRelayed(done.applied(), done.revision(), relayed(done.current()))));
+            default ->
+                Future.succeededFuture(Either.left(Failure.rejected(
+                        ErrorCode.INVALID_REQUEST, "store.relay", "unknown operation " + message.operation())));
+        };
+    }
+
+    private static Txn txn(RelayStore message) {
+        List<Write> writes = new ArrayList<>();
+        message.writes().forEach(item -> writes.add(new Write(item.key(), item.value(), item.lease())));
+        return new Txn(message.expected(), writes, message.removals());
+    }
+
+    private static List<RelayedItem> relayed(List<Item> items) {
+        return items.stream().map(RelayedStore::relayed).toList();
+    }
+
+    private static RelayedItem relayed(Item item) {
+        byte[] value = item.value();
+        return new RelayedItem(item.key(), value == null ? new byte[0] : value, item.exists() ? item.revision() : 0, 0);
+    }
+
+    private static Item item(RelayedItem item) {
+        // Every existing key has a revision above 0.
+        return new Item(item.key(), item.revision() == 0 ? null : item.value(), item.revision());
+    }
+}
--- a/library/src/test/java/io/radishspindle/pool/core/EndedTaskTest.java
+++ b/library/src/test/java/io/radishspindle/pool/core/EndedTaskTest.java
@@ -90,4 +90,22 @@
         assertThat(pool.history.violations).isEmpty();
         assertThat(pool.phase("j")).contains(JobPhase.COMPLETED);
     }
+
+    @Test
+    void should_count_a_failed_run_once_when_its_end_is_listed_to_two_owners() {
+        // given
+        pool.failures = 1;
+        pool.submit(SimJobs.job("j", 0, pool.nowMs, SimJobs.step(1, 1_000, 0, 500)));
+        pool.runUntil(2_600);
+        int startsBefore = pool.history.starts;
+
+        // when
+        pool.changeOwner();
+        pool.failures = 0;
+        pool.runUntil(9_000);
+
+        // then
+        assertThat(startsBefore).isEqualTo(2);
+        assertThat(pool.phase("j")).contains(JobPhase.COMPLETED);
+    }
 }
--- a/library/src/test/java/io/radishspindle/pool/core/PoolSimulation.java
+++ b/library/src/test/java/io/radishspindle/pool/core/PoolSimulation.java
@@ -139,9 +139,10 @@
         SimWorker worker = workers.get(id);
         HoldOrder order = owner.holdOrder(id, nowMs, ownToken);
         long sentAtMs = nowMs;
+        long bootWallMs = worker.bootWallMs;
         long waitMs = worker.hasEnds() ? 0 : Math.min(order.waitMs(), 200);
         after(latency() + waitMs, () -> {
-            if (worker.silent) {
+            if (worker.silent || worker.bootWallMs != bootWallMs) {
                 owner.holdFailed(id);
                 after(PoolTiming.HOLD_RETRY_MS, () -> poll(id, owner, ownToken));
                 return;
