--- a/library/src/main/java/io/radishspindle/pool/runtime/WorkerSessions.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/WorkerSessions.java
@@ -115,7 +115,7 @@
                 fencingToken,
                 order.checkpoint(),
                 order.ticket());
-        Logger.debug("event=run-start run={} worker={}", order.run(), worker.id());
+        Logger.debug("event=run-ordered run={} worker={}", order.run(), worker.id());
         control.start(worker, fenced).onSuccess(result -> {
             Answer answer = answerOf(result, Answer.UNHEALTHY);
             if (answer != Answer.ACCEPTED) {
--- /dev/null
+++ b/library/src/test/java/io/radishspindle/pool/runtime/FakeSharedStore.java
@@ -0,0 +1,110 @@
+package io.radishspindle.pool.runtime;
+
+import io.radishspindle.error.ErrorCode;
+import io.radishspindle.error.Failure;
+import io.radishspindle.pool.port.SharedStore;
+import io.vavr.control.Either;
+import io.vertx.core.Future;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/** A store in memory whose calls can be refused or lose their answers. Not thread-safe. */
+final class FakeSharedStore implements SharedStore {
+    /** What happens to the next calls. */
+    enum Fault {
+        NONE,
+        /** Nothing is done, and the store says so. */
+        REFUSE,
+        /** The call is executed and its answer is lost. */
+        LOSE_ANSWER,
+        /** The call is lost, which looks the same to its caller. */
+        LOSE_CALL
+    }
+
+    final Map<String, Item> items = new TreeMap<>();
+    /** Fault of all calls after those in {@link #firstFaults}. */
+    Fault fault = Fault.NONE;
+
+    final Deque<Fault> firstFaults = new ArrayDeque<>();
+    int calls;
+    private long revision = 10;
+
+    private <T> Future<Either<Failure, T>> guarded(java.util.function.Supplier<Either<Failure, T>> action) {
+        calls++;
+        return Future.succeededFuture(
+                switch (firstFaults.isEmpty() ? fault : firstFaults.remove()) {
+                    case NONE -> action.get();
+                    case REFUSE ->
+                        Either.<Failure, T>left(
+                                Failure.retryable(ErrorCode.STORE_UNAVAILABLE, "store", "store", "refused", 1_000));
+                    case LOSE_ANSWER -> {
+                        action.get();
+                        yield Either.<Failure, T>left(Failure.unknown("store", "store", "no answer"));
+                    }
+                    case LOSE_CALL -> Either.<Failure, T>left(Failure.unknown("store", "store", "no answer"));
+                });
+    }
+
+    @Override
+    public Future<Either<Failure, Optional<Item>>> get(String key) {
+        return guarded(() -> Either.right(Optional.ofNullable(items.get(key))));
+    }
+
+    @Override
+    public Future<Either<Failure, Listing>> list(String prefix) {
+        return guarded(() -> Either.right(new Listing(
+                items.values().stream()
+                        .filter(item -> item.key().startsWith(prefix))
+                        .toList(),
+                revision)));
+    }
+
+    @Override
+    public Future<Either<Failure, Listing>> watch(String prefix, long afterRevision, long waitMs) {
+        return guarded(() -> Either.right(new Listing(
+                items.values().stream()
+                        .filter(item -> item.key().startsWith(prefix) && item.revision() > afterRevision)
+                        .toList(),
+                revision)));
+    }
+
+    @Override
+    public Future<Either<Failure, TxnResult>> transact(Txn txn) {
+        return guarded(() -> {
+            List<Item> current = new ArrayList<>();
+            boolean met = true;
+            for (Map.Entry<String, Long> expected : txn.expected().entrySet()) {
+                Item item = items.getOrDefault(expected.getKey(), new Item(expected.getKey(), null, 0));
+                current.add(item);
+                met &= item.revision() == expected.getValue();
+            }
+            if (!met) {
+                return Either.right(new TxnResult(false, 0, current));
+            }
+            revision++;
+            txn.writes().forEach(write -> items.put(write.key(), new Item(write.key(), write.value(), revision)));
+            txn.removals().forEach(items::remove);
+            return Either.right(new TxnResult(true, revision, List.of()));
+        });
+    }
+
+    @Override
+    public Future<Either<Failure, Long>> createLease(long ttlMs) {
+        return guarded(() -> Either.right(7L));
+    }
+
+    @Override
+    public Future<Either<Failure, Long>> renewLease(long lease) {
+        return guarded(() -> Either.right(2_000L));
+    }
+
+    @Override
+    public Future<Either<Failure, Long>> endLease(long lease) {
+        return guarded(() -> Either.right(lease));
+    }
+}
--- /dev/null
+++ b/library/src/test/java/io/radishspindle/pool/runtime/JobIntakeTest.java
@@ -0,0 +1,151 @@
+package io.radishspindle.pool.runtime;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.radishspindle.error.Failure;
+import io.radishspindle.model.Resources;
+import io.radishspindle.platform.SystemClock;
+import io.radishspindle.pool.model.PoolJob;
+import io.radishspindle.pool.model.StepSpec;
+import io.radishspindle.pool.runtime.FakeSharedStore.Fault;
+import io.vavr.control.Either;
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against refusals of jobs that are stored after all, and against two jobs with one id. */
+class JobIntakeTest {
+    private static final long DEADLINE_MS = 400;
+
+    private final FakeSharedStore store = new FakeSharedStore();
+    private final SystemClock clock = new SystemClock();
+    private final List<String> told = new ArrayList<>();
+    private Vertx vertx;
+    private Context context;
+    private JobIntake intake;
+
+    @BeforeEach
+    void createIntake() {
+        vertx = Vertx.vertx();
+        context = vertx.getOrCreateContext();
+        intake = new JobIntake(vertx, clock, store, job -> told.add(job.id()));
+    }
+
+    @AfterEach
+    void closeVertx() {
+        vertx.close().await();
+    }
+
+    private Either<Failure, PoolJob> submit(String id) throws TimeoutException {
+        return submitLater(id).await(5, TimeUnit.SECONDS);
+    }
+
+    private Future<Either<Failure, PoolJob>> submitLater(String id) {
+        return submitAll(List.of(id)).map(results -> results.get(0));
+    }
+
+    /** Submits in one turn of the event loop to which the intake belongs. */
+    private Future<List<Either<Failure, PoolJob>>> submitAll(List<String> ids) {
+        Promise<List<Either<Failure, PoolJob>>> promise = Promise.promise();
+        context.runOnContext(ignored -> Future.all(ids.stream()
+                        .map(id -> intake.submit(job(id), clock.nowMs() + DEADLINE_MS))
+                        .toList())
+                .map(all -> all.<Either<Failure, PoolJob>>list())
+                .onComplete(promise));
+        return promise.future();
+    }
+
+    private static PoolJob job(String id) {
+        StepSpec step = new StepSpec(
+                1, new Resources(1, 1, 0), 1, List.of(), false, false, false, "", "", 0, false, false, "", 0, false, 0);
+        return new PoolJob(id, "q", "pool", "p", List.of(step), 1, 0, 0, 1, 0, 1, 1, 1, null);
+    }
+
+    @Test
+    void should_store_many_jobs_in_few_calls() throws TimeoutException {
+        // when
+        submitAll(IntStream.range(0, 30).mapToObj(i -> "j" + i).toList()).await(5, TimeUnit.SECONDS);
+
+        // then
+        assertThat(store.items).hasSize(30);
+        assertThat(store.calls).isLessThan(5);
+        assertThat(told).hasSize(30);
+    }
+
+    @Test
+    void should_accept_a_repeated_id_as_the_same_job() throws TimeoutException {
+        // given
+        submit("j");
+        long revision = store.items.values().iterator().next().revision();
+
+        // when
+        Either<Failure, PoolJob> again = submit("j");
+
+        // then
+        assertThat(again.isRight()).isTrue();
+        assertThat(store.items.values()).singleElement().satisfies(item -> assertThat(item.revision())
+                .isEqualTo(revision));
+    }
+
+    @Test
+    void should_store_the_new_jobs_of_a_batch_in_which_one_id_exists() throws TimeoutException {
+        // given
+        submit("a");
+
+        // when
+        List<Either<Failure, PoolJob>> results = submitAll(List.of("a", "b")).await(5, TimeUnit.SECONDS);
+
+        // then
+        assertThat(results).allMatch(Either::isRight);
+        assertThat(store.items).hasSize(2);
+    }
+
+    @Test
+    void should_refuse_at_once_when_the_store_has_done_nothing() throws TimeoutException {
+        // given
+        store.fault = Fault.REFUSE;
+
+        // when
+        Either<Failure, PoolJob> result = submit("j");
+
+        // then
+        assertThat(result.getLeft().notRun()).isTrue();
+        assertThat(result.getLeft().retryAfterMs()).isPositive();
+        assertThat(store.items).isEmpty();
+    }
+
+    @Test
+    void should_accept_a_job_whose_first_answer_was_lost() throws TimeoutException {
+        // given
+        store.firstFaults.add(Fault.LOSE_ANSWER);
+
+        // when
+        Either<Failure, PoolJob> result = submit("j");
+
+        // then
+        assertThat(result.isRight()).isTrue();
+        assertThat(told).containsExactly("j");
+    }
+
+    @Test
+    void should_never_call_an_open_outcome_not_run() throws TimeoutException {
+        // given
+        store.firstFaults.add(Fault.LOSE_CALL);
+        store.fault = Fault.REFUSE;
+
+        // when
+        Either<Failure, PoolJob> result = submit("j");
+
+        // then
+        assertThat(result.getLeft().notRun()).isFalse();
+    }
+}
--- /dev/null
+++ b/library/src/test/java/io/radishspindle/pool/runtime/RelayedStoreTest.java
@@ -0,0 +1,101 @@
+package io.radishspindle.pool.runtime;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.radishspindle.error.ErrorCode;
+import io.radishspindle.error.Failure;
+import io.radishspindle.platform.SystemClock;
+import io.radishspindle.pool.port.SharedStore.Txn;
+import io.radishspindle.pool.port.SharedStore.TxnResult;
+import io.radishspindle.pool.port.SharedStore.Write;
+import io.radishspindle.pool.runtime.FakeSharedStore.Fault;
+import io.radishspindle.protocol.message.PoolMessages.RelayStore;
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against outages of a VM that the store turns away while it serves others. */
+class RelayedStoreTest {
+    private final FakeSharedStore direct = new FakeSharedStore();
+    private final FakeSharedStore shared = new FakeSharedStore();
+    private final FakeMessenger messenger = new FakeMessenger();
+    private final SystemClock clock = new SystemClock();
+    private final RelayedStore store = new RelayedStore(clock, direct, messenger, () -> List.of("b", "c"));
+    private final RelayedStore peer = new RelayedStore(clock, shared, messenger, List::of);
+
+    @BeforeEach
+    void connectPeers() {
+        messenger.peers.put("b", message -> peer.serve((RelayStore) message));
+        messenger.peers.put("c", message -> peer.serve((RelayStore) message));
+    }
+
+    private Either<Failure, TxnResult> write() {
+        return store.transact(new Txn(Map.of("k", 0L), List.of(new Write("k", new byte[] {1}, 0)), List.of()))
+                .await();
+    }
+
+    @Test
+    void should_go_directly_while_the_store_answers() {
+        assertThat(write().get().applied()).isTrue();
+        assertThat(messenger.asked).isEmpty();
+    }
+
+    @Test
+    void should_write_through_a_peer_when_the_store_turns_this_vm_away() {
+        // given
+        direct.fault = Fault.REFUSE;
+
+        // when
+        Either<Failure, TxnResult> result = write();
+
+        // then
+        assertThat(result.get().applied()).isTrue();
+        assertThat(shared.items).containsKey("k");
+        assertThat(store.get("k").await().get()).isPresent();
+        assertThat(store.get("absent").await().get()).isEmpty();
+    }
+
+    @Test
+    void should_not_repeat_a_call_with_an_open_outcome_through_a_peer() {
+        // given
+        direct.fault = Fault.LOSE_CALL;
+
+        // when
+        Either<Failure, TxnResult> result = write();
+
+        // then
+        assertThat(result.getLeft().notRun()).isFalse();
+        assertThat(messenger.asked).isEmpty();
+    }
+
+    @Test
+    void should_return_to_the_direct_path_after_a_renewal_has_passed() {
+        // given
+        direct.fault = Fault.REFUSE;
+        write();
+        direct.fault = Fault.NONE;
+
+        // when
+        store.renewLease(7).await();
+
+        // then
+        assertThat(store.isDirectPathDown()).isFalse();
+    }
+
+    @Test
+    void should_refuse_truly_when_no_peer_reaches_the_store() {
+        // given
+        direct.fault = Fault.REFUSE;
+        shared.fault = Fault.REFUSE;
+
+        // when
+        Either<Failure, TxnResult> result = write();
+
+        // then
+        assertThat(result.getLeft().code()).isEqualTo(ErrorCode.STORE_UNAVAILABLE);
+        assertThat(result.getLeft().notRun()).isTrue();
+        assertThat(messenger.asked).hasSize(2);
+    }
+}
