Keep a success at its worker while a further attempt is ordered

When the worker reported the success, placement could not use it, and the coordinator acknowledged it without a record. The further attempt never started, so that the next owner found nothing and ran the task again.

Found with a trace line for the moment at which a worker forgets an end.

Change: such a success stays with its worker until the task is settled.

--- a/library/src/main/java/io/radishspindle/ownership/JobCoordinator.java
+++ b/library/src/main/java/io/radishspindle/ownership/JobCoordinator.java
@@ -295,9 +295,18 @@
             journal.append(JournalEntry.completed(jobId, index), outcome -> acknowledgeIfDurable(ended, outcome));
         } else if (ended.outcome() == TaskOutcome.FAILED) {
             journal.append(JournalEntry.failed(jobId, index), outcome -> acknowledgeIfDurable(ended, outcome));
-        } else {
+        } else if (ended.outcome() != TaskOutcome.SUCCEEDED || isSettled(attempt) || isService(jobId)) {
             commands.acknowledge(ended.workerId(), attempt);
         }
+        // Otherwise a further attempt was ordered before this success became known. It may never start, so that the
+        // worker has to keep the success for the next owner.
+    }
+
+    private boolean isService(String jobId) {
+        return journal.jobs()
+                .find(jobId)
+                .map(job -> job.spec.jobClass() == JobClass.SERVICE)
+                .orElse(false);
     }
 
     private void acknowledgeIfDurable(PlacementAction.RecordAttempt ended, Journal.Outcome outcome) {
--- a/soak-runner/src/main/java/io/radishspindle/soak/FakeWorker.java
+++ b/soak-runner/src/main/java/io/radishspindle/soak/FakeWorker.java
@@ -176,6 +176,7 @@
     private void forget(TaskAttempt attempt) {
         if (finished.remove(attempt) != null) {
             history.accept(new HistoryEvent.Acknowledged(sim.now(), id, attempt));
+            sim.note(id + " forgets " + attempt);
         }
     }
 
