Tell owners before callers; refuse at once while the store is silent; checker knows kills during a pause

Cause 1: a submission whose write got no answer was held until its deadline although the store was known to be silent. A call that waits 600 ms without any answer in between now marks the direct path as down, and an open outcome is answered at once as a gateway timeout; the caller's repeat settles it. Cause 2: a caller heard of the acceptance before the owner was told, which a test on a loaded machine showed. The checker took the time of the kill as the end of the run. It now takes the start of the pause if the kill came during it, and a new test holds it to breaches outside of a pause.

--- a/library/src/main/java/io/radishspindle/pool/runtime/JobIntake.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/JobIntake.java
@@ -21,6 +21,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /**
@@ -64,16 +65,21 @@
     private final Clock clock;
     private final SharedStore store;
     private final Consumer<PoolJob> onStored;
+    private final BooleanSupplier storeAway;
     private final Deque<Pending> waiting = new ArrayDeque<>();
     private int inFlight;
     private boolean scheduled;
 
-    /** @param onStored told of each job that this VM has stored */
-    JobIntake(Vertx vertx, Clock clock, SharedStore store, Consumer<PoolJob> onStored) {
+    /**
+     * @param onStored told of each job that this VM has stored
+     * @param storeAway whether the store is known not to answer, so that it is no use to wait for it
+     */
+    JobIntake(Vertx vertx, Clock clock, SharedStore store, Consumer<PoolJob> onStored, BooleanSupplier storeAway) {
         this.vertx = vertx;
         this.clock = clock;
         this.store = store;
         this.onStored = onStored;
+        this.storeAway = storeAway;
     }
 
     /** Stores a job. A failure with {@code notRun} false means that the outcome stayed unknown until the deadline. */
@@ -132,8 +138,8 @@
             batch.forEach(pending -> onFailed(pending, result.getLeft()));
         } else if (result.get().applied()) {
             batch.forEach(pending -> {
-                pending.promise.complete(Either.right(pending.job));
                 onStored.accept(pending.job);
+                pending.promise.complete(Either.right(pending.job));
             });
         } else {
             onConflict(batch, result.get());
@@ -146,10 +152,10 @@
         result.current().stream().filter(Item::exists).forEach(item -> existing.add(item.key()));
         for (Pending pending : batch) {
             if (existing.contains(pending.key)) {
-                pending.promise.complete(Either.right(pending.job));
                 if (pending.uncertain) {
                     onStored.accept(pending.job);
                 }
+                pending.promise.complete(Either.right(pending.job));
             } else {
                 waiting.addFirst(pending);
             }
@@ -160,7 +166,8 @@
         pending.uncertain |= !failure.notRun();
         if (!pending.uncertain) {
             pending.promise.complete(Either.left(refusal(failure.message())));
-        } else if (clock.nowMs() >= pending.deadlineMs) {
+        } else if (clock.nowMs() >= pending.deadlineMs || storeAway.getAsBoolean()) {
+            // The caller repeats the request at another VM, which settles the outcome.
             pending.promise.complete(
                     Either.left(Failure.unknown("job.store", failure.peer(), "outcome unknown: " + failure.message())));
         } else {
--- a/library/src/main/java/io/radishspindle/pool/runtime/RelayedStore.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/RelayedStore.java
@@ -11,6 +11,8 @@
 import io.vavr.control.Either;
 import io.vertx.core.Future;
 import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -28,6 +30,8 @@
 final class RelayedStore implements SharedStore {
     /** Limit of a relayed call, in milliseconds: a call to the store and a round trip between regions. */
     private static final long RELAY_TIMEOUT_MS = 1_300;
+    /** A call that waits longer than this counts as unanswered, in milliseconds; a slow store takes up to 400 ms. */
+    private static final long SILENT_MS = 600;
     /** Peers that are asked for one call. */
     private static final int MAX_PEERS = 2;
 
@@ -35,6 +39,10 @@
     private final SharedStore direct;
     private final PeerMessenger messenger;
     private final Supplier<List<String>> peers;
+    /** Start times of direct calls that wait for an answer, in the order in which they were made. */
+    private final Map<Long, Long> outstanding = new LinkedHashMap<>();
+
+    private long calls;
     private long lastSuccessMs = Long.MIN_VALUE + 1;
     private long lastFailureMs = Long.MIN_VALUE;
     private int rotation;
@@ -48,9 +56,17 @@
         this.peers = peers;
     }
 
-    /** Whether the last direct call got no useful answer. */
+    /** Whether the last direct call got no useful answer, or one has waited so long that the store must be silent. */
     boolean isDirectPathDown() {
-        return lastFailureMs > lastSuccessMs;
+        if (lastFailureMs > lastSuccessMs) {
+            return true;
+        }
+        Iterator<Long> oldest = outstanding.values().iterator();
+        if (!oldest.hasNext()) {
+            return false;
+        }
+        long sinceMs = oldest.next();
+        return lastSuccessMs < sinceMs && clock.nowMs() - sinceMs > SILENT_MS;
     }
 
     @Override
@@ -98,7 +114,7 @@
     @Override
     public Future<Either<Failure, Long>> renewLease(long lease) {
         RelayStore relay = new RelayStore("renew", "", lease, Map.of(), List.of(), List.of());
-        return direct.renewLease(lease).onSuccess(this::observe).compose(result -> {
+        return direct(() -> direct.renewLease(lease)).compose(result -> {
             boolean open = result.isLeft() && result.getLeft().code() != ErrorCode.NOT_FOUND;
             return open
                     ? relay(relay, 0, result.getLeft()).map(reply -> reply.map(StoreRelayed::revision))
@@ -111,6 +127,15 @@
         return direct.endLease(lease);
     }
 
+    private <T> Future<Either<Failure, T>> direct(Supplier<Future<Either<Failure, T>>> directCall) {
+        long call = ++calls;
+        outstanding.put(call, clock.nowMs());
+        return directCall.get().onSuccess(result -> {
+            outstanding.remove(call);
+            observe(result);
+        });
+    }
+
     private <T> Future<Either<Failure, T>> call(
             Supplier<Future<Either<Failure, T>>> directCall, RelayStore relay, Function<StoreRelayed, T> decoder) {
         if (isDirectPathDown()) {
@@ -119,11 +144,11 @@
             return relay(relay, 0, unreachable).compose(reply -> {
                 boolean notRun = reply.isLeft() && reply.getLeft().notRun();
                 return notRun && peers.get().isEmpty()
-                        ? directCall.get().onSuccess(this::observe)
+                        ? direct(directCall)
                         : Future.succeededFuture(reply.map(decoder));
             });
         }
-        return directCall.get().onSuccess(this::observe).compose(result -> {
+        return direct(directCall).compose(result -> {
             boolean refused = result.isLeft()
                     && result.getLeft().notRun()
                     && result.getLeft().code() == ErrorCode.STORE_UNAVAILABLE;
--- a/soak-runner/src/main/java/io/radishspindle/soak/FakeWorker.java
+++ b/soak-runner/src/main/java/io/radishspindle/soak/FakeWorker.java
@@ -64,6 +64,9 @@
 
     @Override
     void kill() {
+        if (isPaused()) {
+            history.accept(new HistoryEvent.WorkerPaused(sim.now(), id, pausedSinceMs));
+        }
         super.kill();
         history.accept(new HistoryEvent.WorkerDied(sim.now(), id));
         running.clear();
--- a/soak-runner/src/test/java/io/radishspindle/soak/HistoryCheckerTest.java
+++ b/soak-runner/src/test/java/io/radishspindle/soak/HistoryCheckerTest.java
@@ -46,6 +46,25 @@
                 ended(400, "w1", FIRST, TaskOutcome.SUCCEEDED));
     }
 
+    @Test
+    void should_accept_a_task_that_moved_while_its_worker_was_paused_until_it_was_killed() {
+        assertClean(
+                started(1, "w1", FIRST),
+                started(20, "w2", SECOND),
+                new HistoryEvent.WorkerPaused(30, "w1", 5),
+                new HistoryEvent.WorkerDied(30, "w1"));
+    }
+
+    @Test
+    void should_find_a_task_that_moved_before_its_worker_was_killed() {
+        assertBreach(
+                HistoryChecker.Rule.TWO_PLACES,
+                started(1, "w1", FIRST),
+                new HistoryEvent.WorkerPaused(10, "w1", 5),
+                started(20, "w2", SECOND),
+                new HistoryEvent.WorkerDied(30, "w1"));
+    }
+
     @Test
     void should_find_an_overfull_worker() {
         assertBreach(HistoryChecker.Rule.OVERFULL, started(1, "w1", FIRST), started(2, "w1", OTHER));
