--- a/library/src/test/java/io/radishspindle/pool/core/PoolSimulation.java
+++ b/library/src/test/java/io/radishspindle/pool/core/PoolSimulation.java
@@ -88,15 +88,23 @@
     void changeOwner() {
         token++;
         scheduler = new PoolScheduler();
-        storedJobs
-                .values()
-                .forEach(job ->
-                        scheduler.load(job, storedProgress.get(job.id()), storedCancels.contains(job.id()), nowMs));
+        storedJobs.values().forEach(this::load);
         scheduler.beginRecovery(nowMs);
         workers.values().forEach(worker -> scheduler.workerListed(worker.entry, nowMs));
         workers.keySet().forEach(id -> poll(id, scheduler, token));
     }
 
+    private void load(PoolJob job) {
+        JobProgress progress = storedProgress.get(job.id());
+        if (progress != null && progress.phase().isFinal()) {
+            scheduler.loadEnded(job.id(), progress.phase(), progress.endedWallMs());
+        } else if (storedCancels.contains(job.id())) {
+            scheduler.loadEnded(job.id(), JobPhase.CANCELLED, nowMs);
+        } else {
+            scheduler.load(job, progress, false, nowMs);
+        }
+    }
+
     Optional<JobPhase> phase(String jobId) {
         return scheduler.phase(jobId);
     }
