--- a/library/src/main/java/io/radishspindle/pool/runtime/JobIntake.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/JobIntake.java
@@ -23,6 +23,7 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 /**
  * Stores submissions, several in one conditional write. Any VM does so without the owner of the pool. Belongs to one
@@ -39,7 +40,6 @@
     /** Pause before a write with an unknown outcome is repeated, in milliseconds. */
     private static final long REPEAT_MS = 60;
 
-    private static final long RETRY_AFTER_MS = 1_000;
     /** Submissions that may wait; more are refused at once. */
     private static final int MAX_WAITING = 400;
 
@@ -66,6 +66,7 @@
     private final SharedStore store;
     private final Consumer<PoolJob> onStored;
     private final BooleanSupplier storeAway;
+    private final LongSupplier retryAfterMs;
     private final Deque<Pending> waiting = new ArrayDeque<>();
     private int inFlight;
     private boolean scheduled;
@@ -73,13 +74,21 @@
     /**
      * @param onStored told of each job that this VM has stored
      * @param storeAway whether the store is known not to answer, so that it is no use to wait for it
+     * @param retryAfterMs when a refused caller should come back, in milliseconds
      */
-    JobIntake(Vertx vertx, Clock clock, SharedStore store, Consumer<PoolJob> onStored, BooleanSupplier storeAway) {
+    JobIntake(
+            Vertx vertx,
+            Clock clock,
+            SharedStore store,
+            Consumer<PoolJob> onStored,
+            BooleanSupplier storeAway,
+            LongSupplier retryAfterMs) {
         this.vertx = vertx;
         this.clock = clock;
         this.store = store;
         this.onStored = onStored;
         this.storeAway = storeAway;
+        this.retryAfterMs = retryAfterMs;
     }
 
     /** Stores a job. A failure with {@code notRun} false means that the outcome stayed unknown until the deadline. */
@@ -178,7 +187,7 @@
         }
     }
 
-    private static Failure refusal(String reason) {
-        return Failure.retryable(ErrorCode.STORE_UNAVAILABLE, "job.store", "store", reason, RETRY_AFTER_MS);
+    private Failure refusal(String reason) {
+        return Failure.retryable(ErrorCode.STORE_UNAVAILABLE, "job.store", "store", reason, retryAfterMs.getAsLong());
     }
 }
--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolNode.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolNode.java
@@ -98,7 +98,7 @@
         lease = new NodeLease(vertx, store, self);
         election = new OwnerElection(clock, store, view, self, lease, messenger, this::claimed);
         advice = new AdviceDispatcher(adviceService, messenger, self, view);
-        intake = new JobIntake(vertx, clock, store, this::tellOwner, store::isDirectPathDown);
+        intake = new JobIntake(vertx, clock, store, this::tellOwner, store::isDirectPathDown, store::retryAfterMs);
         directory = new JobDirectory(store, messenger, view, self, owned);
         configWatch =
                 new PrefixWatch(vertx, clock, store, codec.configKey(), 0, new ConfigListener(), this::storeAnswered);
--- a/library/src/main/java/io/radishspindle/pool/runtime/RelayedStore.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/RelayedStore.java
@@ -32,6 +32,10 @@
     private static final long RELAY_TIMEOUT_MS = 1_300;
     /** A call that waits longer than this counts as unanswered, in milliseconds; a slow store takes up to 400 ms. */
     private static final long SILENT_MS = 600;
+    /** Bounds of what callers are told to wait, in milliseconds; they repeat a request up to four times. */
+    private static final long MIN_RETRY_AFTER_MS = 1_000;
+
+    private static final long MAX_RETRY_AFTER_MS = 3_000;
     /** Peers that are asked for one call. */
     private static final int MAX_PEERS = 2;
 
@@ -47,6 +51,7 @@
     private long lastFailureMs = Long.MIN_VALUE;
     private int rotation;
     private boolean relaying;
+    private long downSinceMs;
 
     /** @param peers ids of the other VMs */
     RelayedStore(Clock clock, SharedStore direct, PeerMessenger messenger, Supplier<List<String>> peers) {
@@ -69,6 +74,15 @@
         return lastSuccessMs < sinceMs && clock.nowMs() - sinceMs > SILENT_MS;
     }
 
+    /**
+     * When a caller that is refused now should come back, in milliseconds: an outage that has lasted for some time is
+     * expected to last as long again.
+     */
+    long retryAfterMs() {
+        long ageMs = relaying ? clock.nowMs() - downSinceMs : 0;
+        return Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, ageMs));
+    }
+
     @Override
     public Future<Either<Failure, Optional<Item>>> get(String key) {
         return call(
@@ -188,6 +202,7 @@
         }
         if (relaying != isDirectPathDown()) {
             relaying = isDirectPathDown();
+            downSinceMs = clock.nowMs();
             Logger.info("event=store-path path={}", relaying ? "peers" : "direct");
         }
     }
--- a/library/src/test/java/io/radishspindle/pool/runtime/JobIntakeTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/JobIntakeTest.java
@@ -39,7 +39,7 @@
     void createIntake() {
         vertx = Vertx.vertx();
         context = vertx.getOrCreateContext();
-        intake = new JobIntake(vertx, clock, store, job -> told.add(job.id()), () -> storeAway);
+        intake = new JobIntake(vertx, clock, store, job -> told.add(job.id()), () -> storeAway, () -> 2_000);
     }
 
     @AfterEach
@@ -121,7 +121,7 @@
 
         // then
         assertThat(result.getLeft().notRun()).isTrue();
-        assertThat(result.getLeft().retryAfterMs()).isPositive();
+        assertThat(result.getLeft().retryAfterMs()).isEqualTo(2_000);
         assertThat(store.items).isEmpty();
     }
 
