Pass over VMs whose advice call failed; bound the lines of each log event

A VM is now passed over for a second after a failed call.

Ruled out: changes of owner (none from 3.7 to 11.5 s), room (steps were ready and unplaced), tickets (6 rejected).

--- a/library/src/main/java/io/radishspindle/pool/runtime/AdviceDispatcher.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/AdviceDispatcher.java
@@ -1,6 +1,7 @@
 package io.radishspindle.pool.runtime;
 
 import io.radishspindle.error.Failure;
+import io.radishspindle.platform.Clock;
 import io.radishspindle.pool.port.AdviceService;
 import io.radishspindle.pool.port.AdviceService.Advice;
 import io.radishspindle.protocol.PeerMessenger;
@@ -22,17 +23,19 @@
 final class AdviceDispatcher {
     /** Added to the expected duration before a call counts as failed, in milliseconds. */
     private static final long SLACK_MS = 700;
-    /** A VM whose call has failed is passed over for this many further choices. */
-    private static final int PASSED_OVER = 8;
+    /** A VM whose call has failed is not asked for this long, in milliseconds; a restart takes one to two seconds. */
+    private static final long PASS_OVER_MS = 1_000;
 
     private final AdviceService service;
     private final PeerMessenger messenger;
     private final NodeIdentity self;
     private final ControlView view;
     private final Map<String, Integer> busy = new HashMap<>();
-    private final Map<String, Integer> penalty = new HashMap<>();
+    private final Map<String, Long> passedOverUntilMs = new HashMap<>();
+    private final Clock clock;
 
-    AdviceDispatcher(AdviceService service, PeerMessenger messenger, NodeIdentity self, ControlView view) {
+    AdviceDispatcher(Clock clock, AdviceService service, PeerMessenger messenger, NodeIdentity self, ControlView view) {
+        this.clock = clock;
         this.service = service;
         this.messenger = messenger;
         this.self = self;
@@ -62,19 +65,16 @@
         return call.onSuccess(result -> {
             busy.merge(vm, -1, Integer::sum);
             if (result.isLeft()) {
-                penalty.put(vm, PASSED_OVER);
+                passedOverUntilMs.put(vm, clock.nowMs() + PASS_OVER_MS);
             }
         });
     }
 
     private String leastBusy() {
-        String best = channels().stream()
+        return channels().stream()
                 .min(Comparator.comparingInt((String vm) -> busy.getOrDefault(vm, 0))
-                        .thenComparingInt(vm -> penalty.getOrDefault(vm, 0))
                         .thenComparing(vm -> vm.equals(self.vmId())))
                 .orElse(self.vmId());
-        penalty.replaceAll((vm, left) -> Math.max(0, left - 1));
-        return best;
     }
 
     private List<String> channels() {
@@ -83,6 +83,8 @@
         if (!live.contains(self.vmId())) {
             all.add(self.vmId());
         }
+        long nowMs = clock.nowMs();
+        all.removeIf(vm -> passedOverUntilMs.getOrDefault(vm, Long.MIN_VALUE) > nowMs);
         return all;
     }
 }
--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolNode.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolNode.java
@@ -97,7 +97,7 @@
         store = new RelayedStore(clock, platformStore, messenger, this::otherVms);
         lease = new NodeLease(vertx, store, self);
         election = new OwnerElection(clock, store, view, self, lease, messenger, this::claimed);
-        advice = new AdviceDispatcher(adviceService, messenger, self, view);
+        advice = new AdviceDispatcher(clock, adviceService, messenger, self, view);
         intake = new JobIntake(vertx, clock, store, this::tellOwner, store::isDirectPathDown, store::retryAfterMs);
         directory = new JobDirectory(store, messenger, view, self, owned);
         configWatch =
--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
@@ -60,6 +60,7 @@
     private final ProgressWriter writer;
     private final PrefixWatch intake;
     private final MetricRegistry metrics;
+    private final BoundedLog log;
     private final long claimedAtMs;
     private boolean loaded;
     private boolean closed;
@@ -86,9 +87,10 @@
         this.token = token;
         this.advice = advice;
         this.metrics = metrics;
+        log = new BoundedLog(clock);
         this.onDeposed = onDeposed;
         claimedAtMs = clock.nowMs();
-        sessions = new WorkerSessions(vertx, clock, control, scheduler, token, new Sessions());
+        sessions = new WorkerSessions(vertx, clock, control, scheduler, token, log, new Sessions());
         writer = new ProgressWriter(vertx, clock, store, pool, token, scheduler, new Progress());
         intake = new PrefixWatch(
                 vertx, clock, store, StoreKeys.intake(pool), INTAKE_PAUSE_MS, new Intake(), reachable -> {});
@@ -228,15 +230,17 @@
         } else if (action instanceof PoolAction.JobEnded ended) {
             metrics.counter("pool.jobs." + ended.phase().toLowerCase(java.util.Locale.ROOT))
                     .inc();
-            Logger.info(
-                    "event=job-ended job={} queue={} phase={} token={} age_ms={} steps=\"{}\" reason=\"{}\"",
-                    ended.jobId(),
-                    ended.queue(),
-                    ended.phase(),
-                    token,
-                    ended.ageMs(),
-                    ended.timeline(),
-                    ended.reason());
+            if (log.allows("job-ended")) {
+                Logger.info(
+                        "event=job-ended job={} queue={} phase={} token={} age_ms={} steps=\"{}\" reason=\"{}\"",
+                        ended.jobId(),
+                        ended.queue(),
+                        ended.phase(),
+                        token,
+                        ended.ageMs(),
+                        ended.timeline(),
+                        ended.reason());
+            }
         } else if (action instanceof PoolAction.WorkerChanged changed) {
             Logger.info(
                     "event=worker-{} worker={} pool={} reason=\"{}\"",
@@ -250,7 +254,7 @@
     private void ask(PoolAction.Advise ask) {
         metrics.counter("pool.advice.calls").inc();
         advice.advise(ask.step(), ask.workers(), ask.expectedMs()).onSuccess(result -> {
-            if (result.isLeft()) {
+            if (result.isLeft() && log.allows("advice-failed")) {
                 Logger.info(
                         "event=advice-failed step={} error=\"{}\"",
                         ask.step(),
--- a/library/src/main/java/io/radishspindle/pool/runtime/WorkerSessions.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/WorkerSessions.java
@@ -38,6 +38,7 @@
     private final WorkerControl control;
     private final PoolScheduler scheduler;
     private final long fencingToken;
+    private final BoundedLog log;
     private final Listener listener;
     private final Set<String> polled = new HashSet<>();
     private boolean closed;
@@ -48,12 +49,14 @@
             WorkerControl control,
             PoolScheduler scheduler,
             long fencingToken,
+            BoundedLog log,
             Listener listener) {
         this.vertx = vertx;
         this.clock = clock;
         this.control = control;
         this.scheduler = scheduler;
         this.fencingToken = fencingToken;
+        this.log = log;
         this.listener = listener;
     }
 
@@ -118,7 +121,7 @@
         Logger.debug("event=run-ordered run={} worker={}", order.run(), worker.id());
         control.start(worker, fenced).onSuccess(result -> {
             Answer answer = answerOf(result, Answer.UNHEALTHY);
-            if (answer != Answer.ACCEPTED) {
+            if (answer != Answer.ACCEPTED && log.allows("run-not-started")) {
                 Logger.info(
                         "event=run-not-started run={} worker={} token={} outcome={} error=\"{}\"",
                         order.run(),
@@ -145,7 +148,9 @@
     }
 
     void stop(WorkerEntry worker, Run run, String reason) {
-        Logger.info("event=run-stop run={} worker={} reason=\"{}\"", run, worker.id(), reason);
+        if (log.allows("run-stop")) {
+            Logger.info("event=run-stop run={} worker={} reason=\"{}\"", run, worker.id(), reason);
+        }
         control.stop(worker, run, fencingToken).onSuccess(result -> {
             if (!closed) {
                 Answer answer = answerOf(result, null);
