Strong VMs own pools; a worker is lost only after a look past its leases

VMs now announce their strength (cores, or the share of them that the link feeds), and a worker's runs are given up only after a hold that was sent past the end of all leases has failed.

--- a/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
@@ -179,11 +179,12 @@
         }
     }
 
-    /** A hold got no answer or was turned down. */
-    public void holdFailed(String workerId) {
+    /** A hold that was sent at {@code sentAtMs} got no answer or was turned down. */
+    public void holdFailed(String workerId, long sentAtMs) {
         WorkerState worker = workers.get(workerId);
         if (worker != null) {
             worker.lastHoldFailed = true;
+            worker.failedHoldSentAtMs = sentAtMs;
         }
     }
 
@@ -254,7 +255,9 @@
     private void expireLeases(long nowMs, long wallMs) {
         for (WorkerState worker : List.copyOf(workers.values())) {
             boolean silent = !worker.answered || nowMs - worker.lastAnswerMs > PoolTiming.SILENT_MS;
-            if (silent && nowMs > worker.leaseBoundMs) {
+            // The last look came after the bound, so that an owner short of processor time does not overlook an end.
+            boolean lookedSince = worker.failedHoldSentAtMs >= worker.leaseBoundMs;
+            if (silent && nowMs > worker.leaseBoundMs && (lookedSince || worker.runs.isEmpty())) {
                 events.leaseEnded(worker, nowMs, wallMs);
                 if (!worker.listed) {
                     workers.remove(worker.id());
--- a/library/src/main/java/io/radishspindle/pool/core/WorkerState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/WorkerState.java
@@ -24,6 +24,8 @@
     long clockAtMs;
     /** Our time at which every lease that was granted to the worker has surely ended. */
     long leaseBoundMs;
+    /** When the last hold that failed was sent. */
+    long failedHoldSentAtMs = Long.MIN_VALUE;
     /** Highest sequence number of an end that was taken over. */
     long seenSequence;
     /** Highest sequence number whose effect is durable. */
--- a/library/src/main/java/io/radishspindle/pool/runtime/NodeLease.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/NodeLease.java
@@ -65,8 +65,8 @@
     }
 
     private void register() {
-        Records.Member member =
-                new Records.Member(self.host(), self.peerPort(), self.dataCentre(), self.region(), self.boot());
+        Records.Member member = new Records.Member(
+                self.host(), self.peerPort(), self.dataCentre(), self.region(), self.boot(), self.strength());
         Write write = new Write(StoreKeys.member(self.vmId()), Records.encode(member), lease);
         store.transact(new Txn(Map.of(), List.of(write), List.of())).onSuccess(this::onRegistered);
     }
--- a/library/src/main/java/io/radishspindle/pool/runtime/OwnerElection.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/OwnerElection.java
@@ -149,7 +149,7 @@
 
     /**
      * Live VMs in the order in which they should own a pool: those without a pool first, then those in the region
-     * with the most VMs, where the store and most workers are; a hash spreads pools over equals.
+     * with the most VMs, where the store and most workers are; strong VMs before weak ones; a hash spreads pools over equals.
      */
     private List<String> candidates(String pool, String excluded) {
         Map<String, Member> live = view.live();
@@ -170,10 +170,16 @@
         order.sort(Comparator.comparing((String vm) -> owning.contains(vm))
                 .thenComparing(vm -> -vmsByRegion.getOrDefault(region(live, vm), 0))
                 .thenComparing(vm -> region(live, vm))
+                .thenComparing(vm -> -strength(live, vm))
                 .thenComparing(vm -> Hashing.wyhashFinal4().hashCharsToLong(pool + "/" + vm)));
         return order;
     }
 
+    private static double strength(Map<String, Member> live, String vm) {
+        Member member = live.get(vm);
+        return member == null ? 0 : member.strength();
+    }
+
     private static String region(Map<String, Member> live, String vm) {
         Member member = live.get(vm);
         return member == null ? "" : member.region();
--- a/library/src/main/java/io/radishspindle/pool/runtime/Records.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/Records.java
@@ -13,8 +13,12 @@
     private static final ObjectMapper MAPPER =
             new ObjectMapper(new MessagePackFactory()).disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
 
-    /** A VM as others reach it. */
-    record Member(String host, int port, String dataCentre, String region, String boot) {}
+    /**
+     * A VM as others reach it.
+     *
+     * @param strength processors in cores, less where the link is narrow; owners should be strong
+     */
+    record Member(String host, int port, String dataCentre, String region, String boot, double strength) {}
 
     /** The VM that owns a pool, with the boot that claimed it. */
     record Owner(String vmId, String boot) {}
--- a/library/src/main/java/io/radishspindle/pool/runtime/WorkerSessions.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/WorkerSessions.java
@@ -102,7 +102,7 @@
             listener.onDeposed("worker " + id + " has seen a higher fencing token");
             return;
         }
-        scheduler.holdFailed(id);
+        scheduler.holdFailed(id, sentAtMs);
         pollLater(id, PoolTiming.HOLD_RETRY_MS);
     }
 
--- a/library/src/test/java/io/radishspindle/pool/core/PoolSimulation.java
+++ b/library/src/test/java/io/radishspindle/pool/core/PoolSimulation.java
@@ -151,7 +151,7 @@
         long waitMs = worker.hasEnds() ? 0 : Math.min(order.waitMs(), 200);
         after(latency() + waitMs, () -> {
             if (worker.silent || worker.bootWallMs != bootWallMs) {
-                owner.holdFailed(id);
+                owner.holdFailed(id, sentAtMs);
                 after(PoolTiming.HOLD_RETRY_MS, () -> poll(id, owner, ownToken));
                 return;
             }
--- a/library/src/test/java/io/radishspindle/pool/runtime/AdviceDispatcherTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/AdviceDispatcherTest.java
@@ -41,10 +41,10 @@
     @BeforeEach
     void createDispatcher() {
         for (String vm : List.of("a", "b", "c")) {
-            Records.Member member = new Records.Member("10.0.0.1", 80, "dc", "r", "1");
+            Records.Member member = new Records.Member("10.0.0.1", 80, "dc", "r", "1", 1);
             view.changed(new SharedStore.Item(StoreKeys.member(vm), Records.encode(member), 1));
         }
-        NodeIdentity self = new NodeIdentity("a", "1", "10.0.0.1", 80, "dc", "r");
+        NodeIdentity self = new NodeIdentity("a", "1", "10.0.0.1", 80, "dc", "r", 1);
         dispatcher = new AdviceDispatcher(clock, (step, workers, timeoutMs) -> own.future(), messenger, self, view);
     }
 
