--- a/library/src/main/java/io/radishspindle/pool/core/PoolTiming.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolTiming.java
@@ -52,8 +52,5 @@
     /** Numbers skipped after a change of owner, above the starts that the previous owner may have made. */
     public static final int ATTEMPT_GAP = 8;
 
-    /** How long a final job stays known, in milliseconds beyond the bound that the platform states. */
-    public static final long RETENTION_MARGIN_MS = 30_000;
-
     private PoolTiming() {}
 }
--- a/library/src/main/java/io/radishspindle/pool/runtime/OwnerElection.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/OwnerElection.java
@@ -149,7 +149,8 @@
 
     /**
      * Live VMs in the order in which they should own a pool: those without a pool first, then those in the region
-     * with the most VMs, where the store and most workers are; strong VMs before weak ones; a hash spreads pools over equals.
+     * with the most VMs, where the store and most workers are; strong VMs before weak ones; a hash spreads pools over
+     * equals.
      */
     private List<String> candidates(String pool, String excluded) {
         Map<String, Member> live = view.live();
--- a/library/src/test/java/io/radishspindle/pool/core/SimJobs.java
+++ b/library/src/test/java/io/radishspindle/pool/core/SimJobs.java
@@ -10,83 +10,49 @@
     private SimJobs() {}
 
     static StepSpec step(int count, long milliCores, int accelerators, long estimateMs, Integer... after) {
-        return new StepSpec(
-                count,
-                new Resources(milliCores, 100, accelerators),
-                estimateMs,
-                List.of(after),
-                true,
-                false,
-                false,
-                "",
-                "",
-                0,
-                false,
-                false,
-                "",
-                0,
-                false,
-                0);
+        return of(count, new Resources(milliCores, 100, accelerators), estimateMs, List.of(after), false, 0, false);
     }
 
     static StepSpec gang(int count, long milliCores, int accelerators, long estimateMs) {
-        return new StepSpec(
-                count,
-                new Resources(milliCores, 100, accelerators),
-                estimateMs,
-                List.of(),
-                true,
-                true,
-                false,
-                "",
-                "",
-                0,
-                false,
-                false,
-                "",
-                0,
-                false,
-                0);
+        return of(count, new Resources(milliCores, 100, accelerators), estimateMs, List.of(), true, 0, false);
     }
 
     static StepSpec serving(int count, long milliCores) {
-        return new StepSpec(
-                count,
-                new Resources(milliCores, 100, 0),
-                400,
-                List.of(),
-                false,
-                false,
-                false,
-                "",
-                "",
-                0,
-                false,
-                true,
-                "image",
-                50,
-                false,
-                1);
+        return of(count, new Resources(milliCores, 100, 0), 400, List.of(), false, 50, false);
     }
 
     static StepSpec filling(int count, long milliCores, long estimateMs) {
+        return of(count, new Resources(milliCores, 100, 0), estimateMs, List.of(), false, 0, true);
+    }
+
+    /** A step with a target lasts; other steps save checkpoints. */
+    private static StepSpec of(
+            int count,
+            Resources perTask,
+            long estimateMs,
+            List<Integer> after,
+            boolean gang,
+            long targetMs,
+            boolean fills) {
+        boolean lasting = targetMs > 0;
+        int maxUnavailable = lasting ? 1 : 0;
         return new StepSpec(
                 count,
-                new Resources(milliCores, 100, 0),
+                perTask,
                 estimateMs,
-                List.of(),
-                true,
-                false,
+                after,
+                !lasting,
+                gang,
                 false,
                 "",
                 "",
                 0,
                 false,
-                false,
+                lasting,
                 "",
-                0,
-                true,
-                0);
+                targetMs,
+                fills,
+                maxUnavailable);
     }
 
     static PoolJob job(String id, int priority, long acceptedMs, StepSpec... steps) {
