--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
@@ -22,6 +22,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -228,7 +229,7 @@
         } else if (action instanceof PoolAction.Advise ask) {
             ask(ask);
         } else if (action instanceof PoolAction.JobEnded ended) {
-            metrics.counter("pool.jobs." + ended.phase().toLowerCase(java.util.Locale.ROOT))
+            metrics.counter("pool.jobs." + ended.phase().toLowerCase(Locale.ROOT))
                     .inc();
             if (log.allows("job-ended")) {
                 Logger.info(
--- a/library/src/test/java/io/radishspindle/pool/core/PoolSimulation.java
+++ b/library/src/test/java/io/radishspindle/pool/core/PoolSimulation.java
@@ -12,6 +12,7 @@
 import io.radishspindle.pool.port.WorkerControl.Answer;
 import io.radishspindle.pool.port.WorkerControl.HoldOrder;
 import io.radishspindle.pool.port.WorkerControl.StartOrder;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -20,9 +21,12 @@
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.ToLongFunction;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
+import org.jspecify.annotations.Nullable;
 
 /**
  * One pool with its owner, workers and store in virtual time, with faults by chance. Deterministic for a seed; not
@@ -42,7 +46,7 @@
     private final Set<String> storedCancels = new HashSet<>();
     private final UniformRandomProvider random;
     private final PriorityQueue<Event> events =
-            new PriorityQueue<>(java.util.Comparator.comparingLong(Event::atMs).thenComparingLong(Event::order));
+            new PriorityQueue<>(Comparator.comparingLong(Event::atMs).thenComparingLong(Event::order));
     PoolScheduler scheduler = new PoolScheduler();
     private long token = 1;
     private long eventCount;
@@ -195,10 +199,7 @@
     }
 
     /** Null as an answer stands for none. */
-    private void send(
-            String id,
-            java.util.function.Function<SimWorker, Answer> order,
-            java.util.function.Consumer<@org.jspecify.annotations.Nullable Answer> onAnswer) {
+    private void send(String id, Function<SimWorker, Answer> order, Consumer<@Nullable Answer> onAnswer) {
         SimWorker worker = workers.get(id);
         long bootWallMs = worker.bootWallMs;
         if (random.nextDouble() < lateOrders) {
--- a/library/src/test/java/io/radishspindle/pool/runtime/FakeSharedStore.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/FakeSharedStore.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.Supplier;
 
 /** A store in memory whose calls can be refused or lose their answers. Not thread-safe. */
 final class FakeSharedStore implements SharedStore {
@@ -34,7 +35,7 @@
     int calls;
     private long revision = 10;
 
-    private <T> Future<Either<Failure, T>> guarded(java.util.function.Supplier<Either<Failure, T>> action) {
+    private <T> Future<Either<Failure, T>> guarded(Supplier<Either<Failure, T>> action) {
         calls++;
         return Future.succeededFuture(
                 switch (firstFaults.isEmpty() ? fault : firstFaults.remove()) {
