Test the choice of a pool's owner

Guards against pools without an owner, needless changes and owners on weak VMs: delays by rank, strength, silence of the owner, and a claim that was overtaken.

--- a/library/src/test/java/io/radishspindle/pool/runtime/AdviceDispatcherTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/AdviceDispatcherTest.java
@@ -4,7 +4,6 @@
 
 import io.radishspindle.error.ErrorCode;
 import io.radishspindle.error.Failure;
-import io.radishspindle.platform.Clock;
 import io.radishspindle.pool.port.AdviceService;
 import io.radishspindle.pool.port.SharedStore;
 import io.radishspindle.protocol.message.PoolMessages.AdviceGiven;
@@ -18,20 +17,6 @@
 
 /** Guards against calls for advice that queue at one VM, and against a loop of calls through a VM that is away. */
 class AdviceDispatcherTest {
-    private static final class ManualClock implements Clock {
-        private long nowMs = 10_000;
-
-        @Override
-        public long nowMs() {
-            return nowMs;
-        }
-
-        @Override
-        public long wallMs() {
-            return nowMs;
-        }
-    }
-
     private final ManualClock clock = new ManualClock();
     private final FakeMessenger messenger = new FakeMessenger();
     private final ControlView view = new ControlView(clock);
--- /dev/null
+++ b/library/src/test/java/io/radishspindle/pool/runtime/OwnerElectionTest.java
@@ -0,0 +1,128 @@
+package io.radishspindle.pool.runtime;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.radishspindle.pool.port.SharedStore.Item;
+import io.radishspindle.protocol.message.PoolMessages.PoolPong;
+import io.vavr.control.Either;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against pools without an owner, needless changes of owner, and owners on weak VMs. */
+class OwnerElectionTest {
+    private static final String POOL = "desk";
+
+    private final FakeSharedStore store = new FakeSharedStore();
+    private final FakeMessenger messenger = new FakeMessenger();
+    private final ManualClock clock = new ManualClock();
+    private final ControlView view = new ControlView(clock);
+    private final List<Long> claims = new ArrayList<>();
+    private Vertx vertx;
+    private OwnerElection election;
+
+    @BeforeEach
+    void createElection() {
+        vertx = Vertx.vertx();
+        NodeIdentity self = new NodeIdentity("a", "1", "10.0.0.1", 80, "dc", "r", 1);
+        NodeLease lease = new NodeLease(vertx, store, self);
+        lease.start();
+        lease.close();
+        election = new OwnerElection(clock, store, view, self, lease, messenger, (pool, token) -> claims.add(token));
+        addMember("a", 1);
+    }
+
+    @AfterEach
+    void closeVertx() {
+        vertx.close().await();
+    }
+
+    private void addMember(String vm, double strength) {
+        Records.Member member = new Records.Member("10.0.0.1", 80, "dc", "r", "1", strength);
+        view.changed(new Item(StoreKeys.member(vm), Records.encode(member), 1));
+    }
+
+    /** Another VM owns the pool. */
+    private void setOwner(String vm) {
+        Item item = new Item(StoreKeys.owner(POOL), Records.encode(new Records.Owner(vm, "1")), 5);
+        store.items.put(item.key(), item);
+        view.changed(item);
+    }
+
+    private void tickFor(long durationMs) {
+        long untilMs = clock.nowMs + durationMs;
+        while (clock.nowMs < untilMs) {
+            election.tick(List.of(POOL));
+            clock.nowMs += 100;
+        }
+    }
+
+    @Test
+    void should_claim_a_pool_without_owner_with_the_revision_as_token() {
+        tickFor(500);
+
+        assertThat(claims).hasSize(1);
+        assertThat(store.items.get(StoreKeys.owner(POOL)).revision()).isEqualTo(claims.get(0));
+        assertThat(election.holds(POOL)).isTrue();
+    }
+
+    @Test
+    void should_leave_a_pool_to_a_stronger_vm_at_first() {
+        // given
+        addMember("b", 2);
+
+        // when
+        tickFor(300);
+
+        // then
+        assertThat(claims).isEmpty();
+        tickFor(300);
+        assertThat(claims).hasSize(1);
+    }
+
+    @Test
+    void should_replace_an_owner_that_does_not_answer() {
+        // given
+        setOwner("b");
+
+        // when
+        tickFor(700);
+
+        // then
+        assertThat(claims).isEmpty();
+        tickFor(700);
+        assertThat(claims).hasSize(1);
+    }
+
+    @Test
+    void should_keep_an_owner_that_answers() {
+        // given
+        setOwner("b");
+        messenger.peers.put("b", message -> Future.succeededFuture(Either.right(new PoolPong(true))));
+
+        // when
+        tickFor(5_000);
+
+        // then
+        assertThat(claims).isEmpty();
+        assertThat(messenger.asked).isNotEmpty();
+    }
+
+    @Test
+    void should_give_way_to_a_claim_that_it_has_not_seen() {
+        // given
+        Item item = new Item(StoreKeys.owner(POOL), Records.encode(new Records.Owner("b", "1")), 5);
+        store.items.put(item.key(), item);
+
+        // when
+        tickFor(300);
+
+        // then
+        assertThat(claims).isEmpty();
+        assertThat(view.owner(POOL)).isPresent();
+    }
+}
