--- a/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
+++ b/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
@@ -157,8 +157,10 @@
     private void adopt(WorkerState worker, RunningTask running, long nowMs) {
         TaskState task = find(open, running.run().task());
         boolean wanted = task != null && !task.done && task.run == null;
-        RunState run = new RunState(
-                running.run(), worker, reservation(worker, running.run().task()), wanted ? task : null, nowMs);
+        TaskState known = find(jobs, running.run().task());
+        Resources reserved = known == null ? Resources.NONE : known.step.spec.reserved();
+        RunState run = new RunState(running.run(), worker, reserved, wanted ? task : null, nowMs);
+        run.unknownSize = known == null;
         run.phase = Phase.RUNNING;
         run.settledAtMs = nowMs;
         worker.occupy(run);
@@ -182,12 +184,6 @@
         }
     }
 
-    /** What a run that was found on a worker takes there; everything that is free if its job is not known. */
-    private Resources reservation(WorkerState worker, TaskName name) {
-        TaskState task = find(jobs, name);
-        return task == null ? worker.free() : task.step.spec.reserved();
-    }
-
     private static @Nullable TaskState find(Map<String, JobState> among, TaskName name) {
         JobState job = among.get(name.jobId());
         if (job == null
--- a/library/src/main/java/io/radishspindle/pool/core/RunState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/RunState.java
@@ -24,6 +24,9 @@
     /** Null for a run that belongs to no open task; it is stopped. */
     final @Nullable TaskState task;
 
+    /** What the run takes is not known, so that nothing may be started beside it. */
+    boolean unknownSize;
+
     final long sentAtMs;
     Phase phase = Phase.STARTING;
     /** Lists that were requested before this time say nothing about the run's absence. */
--- a/library/src/main/java/io/radishspindle/pool/core/WorkerState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/WorkerState.java
@@ -59,6 +59,7 @@
 
     boolean isUsable(long nowMs) {
         return listed
+                && runs.values().stream().noneMatch(run -> run.unknownSize)
                 && answered
                 && !entry.draining()
                 && !lastHoldFailed
--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
@@ -136,6 +136,7 @@
     }
 
     private void onLoaded(Listing jobs, List<Item> progress) {
+        writer.loaded(progress);
         Map<String, JobProgress> saved = new HashMap<>();
         progress.forEach(item ->
                 decode(item, JobProgress.class).ifPresent(value -> saved.put(StoreKeys.lastPart(item.key()), value)));
--- a/library/src/main/java/io/radishspindle/pool/runtime/ProgressWriter.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/ProgressWriter.java
@@ -6,12 +6,14 @@
 import io.radishspindle.pool.core.PoolScheduler;
 import io.radishspindle.pool.core.PoolScheduler.Batch;
 import io.radishspindle.pool.port.SharedStore;
+import io.radishspindle.pool.port.SharedStore.Item;
 import io.radishspindle.pool.port.SharedStore.Txn;
 import io.radishspindle.pool.port.SharedStore.TxnResult;
 import io.radishspindle.pool.port.SharedStore.Write;
 import io.vavr.control.Either;
 import io.vertx.core.Vertx;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.tinylog.Logger;
@@ -20,11 +22,12 @@
  * Writes the progress of a pool's jobs while this VM owns the pool. Belongs to one event loop.
  *
  * <p>Invariants: every write expects the owner's claim at its revision, so that a replaced owner writes nothing; one
- * write is under way at a time, so that progress never goes back.
+ * write is under way at a time, and each write expects the keys as the last one left them, so that a write without an
+ * answer that is carried out late can't undo a newer one.
  */
 final class ProgressWriter {
-    /** One entry of a transaction is the condition on the claim. */
-    private static final int BATCH = SharedStore.MAX_TXN_ENTRIES - 2;
+    /** One entry of a transaction is the condition on the claim; each job takes a condition and a write. */
+    private static final int BATCH = (SharedStore.MAX_TXN_ENTRIES - 1) / 2;
     /** Coalesces the progress of many jobs into one call; short, since callers wait for the end of their job. */
     private static final long END_DELAY_MS = 15;
 
@@ -47,6 +50,9 @@
     private final long claimRevision;
     private final PoolScheduler scheduler;
     private final Listener listener;
+    /** Revision of each job's progress in the store; absent for a key that does not exist. */
+    private final Map<String, Long> revisions = new HashMap<>();
+
     private boolean busy;
     private boolean closed;
     private long timer = -1;
@@ -69,6 +75,11 @@
         this.listener = listener;
     }
 
+    /** Notes the progress that was found in the store when the pool was loaded. */
+    void loaded(List<Item> items) {
+        items.forEach(item -> revisions.put(item.key(), item.revision()));
+    }
+
     void close() {
         closed = true;
         vertx.cancelTimer(timer);
@@ -106,18 +117,22 @@
             return;
         }
         List<Write> writes = new ArrayList<>();
-        batch.progress()
-                .forEach((id, progress) ->
-                        writes.add(new Write(StoreKeys.progress(pool, id), Records.encode(progress), 0)));
+        Map<String, Long> expected = new HashMap<>();
+        expected.put(StoreKeys.owner(pool), claimRevision);
+        batch.progress().forEach((id, progress) -> {
+            String key = StoreKeys.progress(pool, id);
+            writes.add(new Write(key, Records.encode(progress), 0));
+            expected.put(key, revisions.getOrDefault(key, 0L));
+        });
         busy = true;
-        store.transact(new Txn(Map.of(StoreKeys.owner(pool), claimRevision), writes, List.of()))
-                .onSuccess(result -> {
-                    busy = false;
-                    onWritten(batch, boots, result);
-                });
+        store.transact(new Txn(expected, writes, List.of())).onSuccess(result -> {
+            busy = false;
+            onWritten(batch, boots, writes, result);
+        });
     }
 
-    private void onWritten(Batch batch, Map<String, Long> boots, Either<Failure, TxnResult> result) {
+    private void onWritten(
+            Batch batch, Map<String, Long> boots, List<Write> writes, Either<Failure, TxnResult> result) {
         if (closed) {
             return;
         }
@@ -129,9 +144,27 @@
             }
             schedule(RETRY_MS);
         } else if (result.get().applied()) {
+            writes.forEach(write -> revisions.put(write.key(), result.get().revision()));
             durable(batch, boots);
         } else {
             scheduler.notWritten(batch);
+            onConflict(result.get().current());
+        }
+    }
+
+    /** Either the claim has been replaced, or an earlier write without an answer was carried out after all. */
+    private void onConflict(List<Item> current) {
+        boolean claimStands = false;
+        for (Item item : current) {
+            if (item.key().equals(StoreKeys.owner(pool))) {
+                claimStands = item.revision() == claimRevision;
+            } else {
+                revisions.put(item.key(), item.revision());
+            }
+        }
+        if (claimStands) {
+            schedule(DELAY_MS);
+        } else {
             listener.onDeposed("progress was not accepted: the claim has been replaced");
         }
     }
--- a/library/src/test/java/io/radishspindle/pool/runtime/FakeSharedStore.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/FakeSharedStore.java
@@ -33,6 +33,9 @@
 
     final Deque<Fault> firstFaults = new ArrayDeque<>();
     int calls;
+    /** Calls that were lost; running them carries them out late. */
+    final List<Runnable> lostCalls = new ArrayList<>();
+
     private long revision = 10;
 
     private <T> Future<Either<Failure, T>> guarded(Supplier<Either<Failure, T>> action) {
@@ -47,7 +50,10 @@
                         action.get();
                         yield Either.<Failure, T>left(Failure.unknown("store", "store", "no answer"));
                     }
-                    case LOSE_CALL -> Either.<Failure, T>left(Failure.unknown("store", "store", "no answer"));
+                    case LOSE_CALL -> {
+                        lostCalls.add(action::get);
+                        yield Either.<Failure, T>left(Failure.unknown("store", "store", "no answer"));
+                    }
                 });
     }
 
