Make the null check of the checker visible to NullAway

The soak module did not compile with Error Prone: NullAway does not follow a null check through a boolean. The check now stands in the expression itself; the meaning is the same. Found by a run of the module's verification.

--- a/soak-runner/src/main/java/io/radishspindle/soak/HistoryChecker.java
+++ b/soak-runner/src/main/java/io/radishspindle/soak/HistoryChecker.java
@@ -110,8 +110,7 @@
     private void endAll(HistoryEvent.WorkerDied died) {
         HistoryEvent.WorkerPaused paused = lastPause.get(died.worker());
         // A worker that is killed during a pause has done nothing since the pause began.
-        boolean whilePaused = paused != null && paused.atMs() == died.atMs();
-        long lastActiveMs = whilePaused ? paused.sinceMs() : died.atMs();
+        long lastActiveMs = paused != null && paused.atMs() == died.atMs() ? paused.sinceMs() : died.atMs();
         for (Run run : runs) {
             if (run.worker.equals(died.worker()) && run.endMs == Long.MAX_VALUE) {
                 run.endMs = Math.max(run.startMs, lastActiveMs);
