Share out the calls for advice among pools; a backlog renews no tickets

The new log line event=pool-load shows up to 198 steps without tickets while 95 of 480 cores were used: the service handles one call at a time for each VM, previews (20 ms) queued behind calls of the other pool (640 ms) at the same VM and timed out, and waiting steps renewed tickets that expired unused. Change: a VM whose channel is occupied says so at once and for how long, and the owner asks through another VM; VMs are shared out among pools, long calls leave half of the others' VMs alone and one own VM for short calls; while channels are scarce, advice is asked only for steps that are likely to find room before a ticket expires. Also: the timeline of a job that an earlier owner had begun no longer shows differences of unrelated clocks. Tests: LoadPatternsTest backlog_of_advised_batch fails without the forecast (run on a scratch copy); AdviceChannelTest and the new cases of AdviceDispatcherTest are of new functions.

--- a/library/src/main/java/io/radishspindle/pool/core/AdvicePlanner.java
+++ b/library/src/main/java/io/radishspindle/pool/core/AdvicePlanner.java
@@ -1,10 +1,12 @@
 package io.radishspindle.pool.core;
 
+import io.radishspindle.model.Resources;
 import io.radishspindle.pool.core.StepState.Ticket;
 import io.radishspindle.pool.model.AdvicePolicy;
 import io.radishspindle.pool.port.AdviceService;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 
@@ -17,6 +19,8 @@
     private static final int CANDIDATES_PER_TASK = 2;
 
     private static final int MIN_CANDIDATES = 3;
+    /** Workers named in a first call; the objective of a job allows for a call that names 30. */
+    private static final int USUAL_CANDIDATES = 30;
 
     private AdvicePlanner() {}
 
@@ -33,21 +37,29 @@
         if (named.isEmpty()) {
             return Optional.empty();
         }
-        step.adviceInFlight = true;
         return Optional.of(new PoolAction.Advise(step.name(), List.copyOf(named), policy.callMs(named.size())));
     }
 
+    /** In a large pool the workers with the most room come first; the others follow if tasks still wait then. */
     private static List<String> unasked(StepState step, Collection<WorkerState> workers, Placer placer, long nowMs) {
-        List<String> named = new ArrayList<>();
+        List<WorkerState> named = new ArrayList<>();
         for (WorkerState worker : workers) {
-            if (named.size() < AdviceService.MAX_WORKERS
-                    && worker.isUsable(nowMs)
-                    && !step.askedWorkers.contains(worker.id())
-                    && placer.mayRun(step, worker)) {
-                named.add(worker.id());
+            if (worker.isUsable(nowMs) && !step.askedWorkers.contains(worker.id()) && placer.mayRun(step, worker)) {
+                named.add(worker);
             }
         }
-        return named;
+        long limit = Math.min(
+                AdviceService.MAX_WORKERS, Math.max(USUAL_CANDIDATES, CANDIDATES_PER_TASK * step.waitingTasks()));
+        if (named.size() > limit) {
+            named.sort(Comparator.comparingLong((WorkerState worker) -> -room(placer, worker)));
+        }
+        return named.stream().limit(limit).map(WorkerState::id).toList();
+    }
+
+    /** Room for comparison: an accelerator counts as one core. */
+    private static long room(Placer placer, WorkerState worker) {
+        Resources free = placer.futureFree(worker);
+        return free.milliCores() + 1_000L * free.accelerators();
     }
 
     private static List<String> expiring(
@@ -67,9 +79,7 @@
             }
         }
         long wanted = Math.max(MIN_CANDIDATES, CANDIDATES_PER_TASK * step.waitingTasks()) - fresh;
-        approved.sort((a, b) -> Long.compare(
-                placer.futureFree(b).milliCores() + 1000L * placer.futureFree(b).accelerators(),
-                placer.futureFree(a).milliCores() + 1000L * placer.futureFree(a).accelerators()));
+        approved.sort(Comparator.comparingLong((WorkerState worker) -> -room(placer, worker)));
         return approved.stream().limit(Math.max(0, wanted)).map(WorkerState::id).toList();
     }
 }
--- a/library/src/main/java/io/radishspindle/pool/core/JobState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/JobState.java
@@ -109,16 +109,25 @@
     /** Times of the steps and the objective, for the log. */
     String timeline() {
         StringBuilder text = new StringBuilder("objective:").append(objectiveMs());
-        long zeroMs = steps.get(0).firstReadyMs;
+        long zeroMs = steps.stream()
+                .mapToLong(step -> step.firstReadyMs)
+                .filter(ms -> ms >= 0)
+                .findFirst()
+                .orElse(0);
         for (StepState step : steps) {
             text.append(' ').append(step.tasks.size()).append(':');
-            text.append(step.firstReadyMs - zeroMs).append('/');
-            text.append(step.lastFirstStartMs - zeroMs).append('/');
-            text.append(step.doneAtMs - zeroMs);
+            text.append(sinceMs(zeroMs, step.firstReadyMs)).append('/');
+            text.append(sinceMs(zeroMs, step.lastFirstStartMs)).append('/');
+            text.append(sinceMs(zeroMs, step.doneAtMs));
         }
         return text.toString();
     }
 
+    /** What happened under an earlier owner has no time here. */
+    private static String sinceMs(long zeroMs, long ms) {
+        return ms < 0 ? "-" : Long.toString(ms - zeroMs);
+    }
+
     private long objectiveMs() {
         return (long) (job.slowdownFactor() * chainMs) + job.objectiveMs();
     }
--- a/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
@@ -37,12 +37,13 @@
     private final Map<String, WorkerState> workers = new LinkedHashMap<>();
     private final Set<JobState> dirty = new LinkedHashSet<>();
     private final List<PoolAction> actions = new ArrayList<>();
+    private final DurationStats durations = new DurationStats();
     private final RunEvents events;
     private long recoveryEndsMs = Long.MIN_VALUE;
 
     /** Creates the scheduler of a pool without jobs and workers. */
     public PoolScheduler() {
-        events = new RunEvents(jobs, open, dirty, actions);
+        events = new RunEvents(jobs, open, dirty, actions, durations);
     }
 
     /** What stays known of a job that had ended before this owner took over. */
@@ -237,13 +238,14 @@
     /**
      * One scheduling pass.
      *
-     * @param idleAdviceChannels calls for advice that can be made at once
+     * @param channels calls for advice that can be made at once
      */
-    public List<PoolAction> schedule(long nowMs, long wallMs, int idleAdviceChannels) {
+    public List<PoolAction> schedule(long nowMs, long wallMs, AdviceChannels channels) {
         expireLeases(nowMs, wallMs);
         events.review(workers.values(), nowMs);
         if (hasQuorum(nowMs)) {
-            new SchedulingPass(workers.values(), actions, nowMs, idleAdviceChannels)
+            RoomForecast forecast = new RoomForecast(workers.values(), durations, nowMs, PoolTiming.FORECAST_MS);
+            new SchedulingPass(workers.values(), actions, nowMs, channels, forecast)
                     .run(Ranking.rank(readySteps(nowMs, wallMs), wallMs), dirty);
         }
         List<PoolAction> result = List.copyOf(actions);
@@ -323,6 +325,11 @@
         return count;
     }
 
+    /** How full the pool is and who waits. */
+    public PoolLoad load(long nowMs, long wallMs) {
+        return PoolLoad.of(workers.values(), readySteps(nowMs, wallMs), nowMs);
+    }
+
     /** Number of jobs that have not ended. */
     public int openJobs() {
         return open.size();
--- a/library/src/main/java/io/radishspindle/pool/core/PoolTiming.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolTiming.java
@@ -32,6 +32,9 @@
     /** Part of a ticket's validity that is not used, in milliseconds, for the way to the worker. */
     public static final long TICKET_MARGIN_MS = 120;
 
+    /** How far ahead room is forecast, in milliseconds: tickets of the users' queues are valid for 1.5 to 2 s. */
+    public static final long FORECAST_MS = 1_500;
+
     /** Wait of a ready task before running work is preempted for it, in milliseconds. */
     public static final long PREEMPT_AFTER_MS = 250;
 
--- a/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
+++ b/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
@@ -34,9 +34,15 @@
     private final Map<String, JobState> open;
     private final Set<JobState> dirty;
     private final List<PoolAction> actions;
-    private final DurationStats durations = new DurationStats();
+    private final DurationStats durations;
 
-    RunEvents(Map<String, JobState> jobs, Map<String, JobState> open, Set<JobState> dirty, List<PoolAction> actions) {
+    RunEvents(
+            Map<String, JobState> jobs,
+            Map<String, JobState> open,
+            Set<JobState> dirty,
+            List<PoolAction> actions,
+            DurationStats durations) {
+        this.durations = durations;
         this.jobs = jobs;
         this.open = open;
         this.dirty = dirty;
--- a/library/src/main/java/io/radishspindle/pool/core/SchedulingPass.java
+++ b/library/src/main/java/io/radishspindle/pool/core/SchedulingPass.java
@@ -18,14 +18,21 @@
     private final long nowMs;
     private final Placer placer;
     private final Preemptor preemptor;
-    private int adviceChannels;
+    private final AdviceChannels channels;
+    private final RoomForecast forecast;
     private int reservingGangs;
 
-    SchedulingPass(Collection<WorkerState> workers, List<PoolAction> actions, long nowMs, int adviceChannels) {
+    SchedulingPass(
+            Collection<WorkerState> workers,
+            List<PoolAction> actions,
+            long nowMs,
+            AdviceChannels channels,
+            RoomForecast forecast) {
         this.workers = workers;
         this.actions = actions;
         this.nowMs = nowMs;
-        this.adviceChannels = adviceChannels;
+        this.channels = channels;
+        this.forecast = forecast;
         placer = new Placer(workers, nowMs);
         preemptor = new Preemptor(workers, placer, nowMs);
     }
@@ -37,13 +44,22 @@
             } else {
                 placeTasks(step, dirty);
             }
-            if (adviceChannels > 0) {
-                AdvicePlanner.plan(step, workers, placer, nowMs).ifPresent(advise -> {
+            advise(step);
+            forecast.claim(step);
+        }
+    }
+
+    /** While channels are scarce, advice is asked only for steps that are likely to start before it expires. */
+    private void advise(StepState step) {
+        if (step.job.job.advice() == null || !(channels.arePlentiful() || forecast.expectsRoom(step))) {
+            return;
+        }
+        AdvicePlanner.plan(step, workers, placer, nowMs)
+                .filter(advise -> channels.tryTake(advise.expectedMs()))
+                .ifPresent(advise -> {
+                    step.adviceInFlight = true;
                     actions.add(advise);
-                    adviceChannels--;
                 });
-            }
-        }
     }
 
     private void placeTasks(StepState step, Set<JobState> dirty) {
--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolNode.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolNode.java
@@ -55,13 +55,13 @@
     private final RelayedStore store;
     private final PlatformCodec codec;
     private final WorkerControl control;
-    private final AdviceService adviceService;
     private final NodeIdentity self;
     private final MetricRegistry metrics;
     private final TcpPeerMessenger messenger;
     private final ControlView view;
     private final NodeLease lease;
     private final OwnerElection election;
+    private final AdviceChannel channel;
     private final AdviceDispatcher advice;
     private final JobIntake intake;
     private final JobDirectory directory;
@@ -87,7 +87,6 @@
         this.clock = clock;
         this.codec = codec;
         this.control = control;
-        this.adviceService = adviceService;
         this.self = self;
         this.metrics = metrics;
         view = new ControlView(clock);
@@ -97,7 +96,8 @@
         store = new RelayedStore(clock, platformStore, messenger, this::otherVms);
         lease = new NodeLease(vertx, store, self);
         election = new OwnerElection(clock, store, view, self, lease, messenger, this::claimed);
-        advice = new AdviceDispatcher(clock, adviceService, messenger, self, view);
+        channel = new AdviceChannel(clock, adviceService);
+        advice = new AdviceDispatcher(clock, channel, messenger, self, view, this::poolNames);
         intake = new JobIntake(vertx, clock, store, this::tellOwner, store::isDirectPathDown, store::retryAfterMs);
         directory = new JobDirectory(store, messenger, view, self, owned);
         configWatch =
@@ -129,6 +129,11 @@
                 .toList();
     }
 
+    private List<String> poolNames() {
+        PoolConfig current = config;
+        return current == null ? List.of() : current.pools();
+    }
+
     private void storeAnswered(boolean answered) {
         metrics.counter(answered ? "store.answers" : "store.failures").inc();
     }
@@ -248,8 +253,8 @@
                         .flatMap(owner -> owner.pending(message.queue()))
                         .orElse(-1))));
         messenger.handle(RelayStore.class, (vm, message) -> store.serve(message).map(Either::narrow));
-        messenger.handle(AskAdvice.class, (vm, message) -> adviceService
-                .advise(message.step(), message.workers(), message.timeoutMs())
+        messenger.handle(AskAdvice.class, (vm, message) -> channel.advise(
+                        message.step(), message.workers(), message.expectedMs())
                 .map(result -> result.map(given -> new AdviceGiven(given.tickets(), given.validMs()))));
     }
 
--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
@@ -4,6 +4,7 @@
 import io.radishspindle.error.Failure;
 import io.radishspindle.platform.Clock;
 import io.radishspindle.pool.core.PoolAction;
+import io.radishspindle.pool.core.PoolLoad;
 import io.radishspindle.pool.core.PoolScheduler;
 import io.radishspindle.pool.model.JobPhase;
 import io.radishspindle.pool.model.JobProgress;
@@ -46,8 +47,11 @@
     /** Ended jobs stay known for this long, in milliseconds: the platform asks for 120 s, and clients repeat late. */
     private static final long RETENTION_MS = 180_000;
 
+    private static final int MILLI = 1_000;
     private static final int FORGET_BATCH = SharedStore.MAX_TXN_ENTRIES / 3 - 1;
     private static final int FORGET_EVERY_TICKS = 40;
+    /** The load is logged every two seconds, which keeps the log of an idle owner small. */
+    private static final int LOAD_EVERY_TICKS = 40;
 
     private final Vertx vertx;
     private final Clock clock;
@@ -191,12 +195,35 @@
         if (ticks % FORGET_EVERY_TICKS == 0) {
             forgetEnded();
         }
+        if (ticks % LOAD_EVERY_TICKS == 0 && scheduler.openJobs() > 0) {
+            logLoad();
+        }
         if (!recoveryLogged && !scheduler.isRecovering(clock.nowMs())) {
             recoveryLogged = true;
             Logger.info("event=pool-recovered pool={} token={} took_ms={}", pool, token, clock.nowMs() - claimedAtMs);
         }
     }
 
+    private void logLoad() {
+        PoolLoad load = scheduler.load(clock.nowMs(), clock.wallMs());
+        Logger.info(
+                "event=pool-load pool={} token={} open={} workers={} usable={} cores={}/{} accelerators={}/{}"
+                        + " waiting={} running={} without_tickets={} idle_channels={}",
+                pool,
+                token,
+                scheduler.openJobs(),
+                load.workers(),
+                load.usable(),
+                load.usedMilliCores() / MILLI,
+                load.milliCores() / MILLI,
+                load.usedAccelerators(),
+                load.accelerators(),
+                load.waitingByPriority(),
+                load.runningByPriority(),
+                load.withoutTickets(),
+                advice.idleChannels(pool));
+    }
+
     /** Decides soon, after everything that has arrived together. */
     private void passSoon() {
         if (!passScheduled && !closed) {
@@ -212,7 +239,7 @@
         if (closed || !loaded) {
             return;
         }
-        for (PoolAction action : scheduler.schedule(clock.nowMs(), clock.wallMs(), advice.idleChannels())) {
+        for (PoolAction action : scheduler.schedule(clock.nowMs(), clock.wallMs(), advice.channels(pool))) {
             perform(action);
         }
         writer.poke();
@@ -255,7 +282,7 @@
 
     private void ask(PoolAction.Advise ask) {
         metrics.counter("pool.advice.calls").inc();
-        advice.advise(ask.step(), ask.workers(), ask.expectedMs()).onSuccess(result -> {
+        advice.advise(pool, ask.step(), ask.workers(), ask.expectedMs()).onSuccess(result -> {
             if (result.isLeft() && log.allows("advice-failed")) {
                 Logger.info(
                         "event=advice-failed step={} error=\"{}\"",
--- a/library/src/main/java/io/radishspindle/protocol/message/PoolMessages.java
+++ b/library/src/main/java/io/radishspindle/protocol/message/PoolMessages.java
@@ -42,7 +42,7 @@
     public record PoolPong(boolean owner) implements PeerMessage {}
 
     /** Asks a VM to make a call for advice; answered by {@link AdviceGiven}. */
-    public record AskAdvice(String step, List<String> workers, long timeoutMs) implements PeerMessage {}
+    public record AskAdvice(String step, List<String> workers, long expectedMs) implements PeerMessage {}
 
     /** Tickets by worker id, with their validity in milliseconds. */
     public record AdviceGiven(Map<String, String> tickets, long validMs) implements PeerMessage {}
--- a/library/src/test/java/io/radishspindle/pool/core/LoadPatternsTest.java
+++ b/library/src/test/java/io/radishspindle/pool/core/LoadPatternsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.radishspindle.model.Resources;
+import io.radishspindle.pool.model.AdvicePolicy;
 import io.radishspindle.pool.model.JobPhase;
 import io.radishspindle.pool.model.TaskName;
 import org.junit.jupiter.api.Test;
@@ -126,4 +127,31 @@
         assertThat(running).isEqualTo(6);
         assertThat(pool.history.violations).isEmpty();
     }
+
+    /**
+     * Guards against a backlog whose tickets expire again and again: its renewals took all calls for advice, so that
+     * urgent work waited for its own.
+     */
+    @Test
+    void backlog_of_advised_batch_should_leave_calls_for_advice_to_urgent_work() {
+        // given
+        addWorkers(4, 16_000, 0);
+        pool.adviceChannels = 3;
+        AdvicePolicy slow = new AdvicePolicy(150, 2, 2_000);
+        for (int i = 0; i < 60; i++) {
+            pool.submit(SimJobs.advised("batch" + i, 2, pool.nowMs, slow, SimJobs.step(11, 3_300, 0, 20_000)));
+        }
+        pool.runUntil(4_000);
+
+        // when
+        int busiest = 0;
+        while (pool.nowMs < 8_000) {
+            pool.runUntil(pool.nowMs + 50);
+            busiest = Math.max(busiest, pool.adviceCalls);
+        }
+
+        // then
+        assertThat(busiest).isLessThan(pool.adviceChannels);
+        assertThat(pool.history.violations).isEmpty();
+    }
 }
--- a/library/src/test/java/io/radishspindle/pool/core/PoolSimulation.java
+++ b/library/src/test/java/io/radishspindle/pool/core/PoolSimulation.java
@@ -59,6 +59,10 @@
     /** Chance that a run fails. */
     double failures;
 
+    /** Calls for advice that are handled at the same time. */
+    int adviceChannels = 4;
+
+    int adviceCalls;
     ToLongFunction<StepSpec> workMs = StepSpec::estimateMs;
     private long nextWriteMs;
 
@@ -120,7 +124,9 @@
             while (!events.isEmpty() && events.peek().atMs() <= nowMs) {
                 events.poll().action().run();
             }
-            scheduler.schedule(nowMs, nowMs, 4).forEach(this::perform);
+            scheduler
+                    .schedule(nowMs, nowMs, new LimitedChannels(adviceChannels - adviceCalls, adviceChannels))
+                    .forEach(this::perform);
             write();
         }
     }
@@ -194,7 +200,11 @@
         } else if (action instanceof PoolAction.Advise ask) {
             Map<String, String> tickets = new HashMap<>();
             ask.workers().forEach(id -> tickets.put(id, "t"));
-            after(ask.expectedMs(), () -> owner.advised(ask.step(), ask.workers(), new Advice(tickets, 2_000), nowMs));
+            adviceCalls++;
+            after(ask.expectedMs(), () -> {
+                adviceCalls--;
+                owner.advised(ask.step(), ask.workers(), new Advice(tickets, 2_000), nowMs);
+            });
         }
     }
 
--- a/library/src/test/java/io/radishspindle/pool/core/SimJobs.java
+++ b/library/src/test/java/io/radishspindle/pool/core/SimJobs.java
@@ -1,6 +1,7 @@
 package io.radishspindle.pool.core;
 
 import io.radishspindle.model.Resources;
+import io.radishspindle.pool.model.AdvicePolicy;
 import io.radishspindle.pool.model.PoolJob;
 import io.radishspindle.pool.model.StepSpec;
 import java.util.List;
@@ -59,4 +60,22 @@
         return new PoolJob(
                 id, "q" + priority, "pool", "payload", List.of(steps), 1, 0, 0, acceptedMs, priority, 3, 2, 400, null);
     }
+
+    static PoolJob advised(String id, int priority, long acceptedMs, AdvicePolicy advice, StepSpec... steps) {
+        return new PoolJob(
+                id,
+                "q" + priority,
+                "pool",
+                "payload",
+                List.of(steps),
+                1,
+                0,
+                0,
+                acceptedMs,
+                priority,
+                3,
+                2,
+                400,
+                advice);
+    }
 }
--- a/library/src/test/java/io/radishspindle/pool/core/UnknownRunsTest.java
+++ b/library/src/test/java/io/radishspindle/pool/core/UnknownRunsTest.java
@@ -49,7 +49,7 @@
     }
 
     private long starts() {
-        return scheduler.schedule(nowMs, nowMs, 0).stream()
+        return scheduler.schedule(nowMs, nowMs, new LimitedChannels(0, 0)).stream()
                 .filter(PoolAction.Start.class::isInstance)
                 .count();
     }
--- /dev/null
+++ b/library/src/test/java/io/radishspindle/pool/runtime/AdviceChannelTest.java
@@ -0,0 +1,48 @@
+package io.radishspindle.pool.runtime;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.radishspindle.error.ErrorCode;
+import io.radishspindle.error.Failure;
+import io.radishspindle.pool.port.AdviceService.Advice;
+import io.vavr.control.Either;
+import io.vertx.core.Promise;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** Guards against calls that wait unseen behind another owner's call at the same VM. */
+class AdviceChannelTest {
+    private final ManualClock clock = new ManualClock();
+    private final Promise<Either<Failure, Advice>> pending = Promise.promise();
+    private final AdviceChannel channel = new AdviceChannel(clock, (step, workers, timeoutMs) -> pending.future());
+
+    @Test
+    void should_tell_a_second_caller_for_how_long_the_vm_is_occupied() {
+        // given
+        channel.advise("j.0.0", List.of("w"), 640);
+        clock.nowMs += 140;
+
+        // when
+        Either<Failure, Advice> second =
+                channel.advise("k.0.0", List.of("w"), 20).result();
+
+        // then
+        assertThat(second.getLeft().code()).isEqualTo(ErrorCode.OVERLOADED);
+        assertThat(second.getLeft().retryAfterMs()).isEqualTo(500);
+    }
+
+    @Test
+    void should_be_free_again_after_the_answer() {
+        // given
+        channel.advise("j.0.0", List.of("w"), 640);
+        pending.complete(Either.right(new Advice(Map.of(), 2_000)));
+
+        // when
+        Either<Failure, Advice> second =
+                channel.advise("k.0.0", List.of("w"), 20).result();
+
+        // then
+        assertThat(second.isRight()).isTrue();
+    }
+}
--- a/library/src/test/java/io/radishspindle/pool/runtime/AdviceDispatcherTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/AdviceDispatcherTest.java
@@ -4,6 +4,7 @@
 
 import io.radishspindle.error.ErrorCode;
 import io.radishspindle.error.Failure;
+import io.radishspindle.pool.core.AdviceChannels;
 import io.radishspindle.pool.port.AdviceService;
 import io.radishspindle.pool.port.SharedStore;
 import io.radishspindle.protocol.message.PoolMessages.AdviceGiven;
@@ -21,20 +22,32 @@
     private final FakeMessenger messenger = new FakeMessenger();
     private final ControlView view = new ControlView(clock);
     private final Promise<Either<Failure, AdviceService.Advice>> own = Promise.promise();
+    private List<String> pools = List.of("first");
     private AdviceDispatcher dispatcher;
 
     @BeforeEach
     void createDispatcher() {
-        for (String vm : List.of("a", "b", "c")) {
-            Records.Member member = new Records.Member("10.0.0.1", 80, "dc", "r", "1", 1);
-            view.changed(new SharedStore.Item(StoreKeys.member(vm), Records.encode(member), 1));
-        }
+        addVms("a", "b", "c");
         NodeIdentity self = new NodeIdentity("a", "1", "10.0.0.1", 80, "dc", "r", 1);
-        dispatcher = new AdviceDispatcher(clock, (step, workers, timeoutMs) -> own.future(), messenger, self, view);
+        AdviceChannel local = new AdviceChannel(clock, (step, workers, timeoutMs) -> own.future());
+        dispatcher = new AdviceDispatcher(clock, local, messenger, self, view, () -> pools);
     }
 
     private Future<Either<Failure, AdviceService.Advice>> ask() {
-        return dispatcher.advise("j.0.0", List.of("w"), 100);
+        return ask("first", 20);
+    }
+
+    private Future<Either<Failure, AdviceService.Advice>> ask(String pool, long expectedMs) {
+        return dispatcher.advise(pool, "j.0.0", List.of("w"), expectedMs);
+    }
+
+    private void addVms(String... names) {
+        for (String vm : names) {
+            Records.Member member = new Records.Member("10.0.0.1", 80, "dc", "r", "1", 1);
+            view.changed(new SharedStore.Item(StoreKeys.member(vm), Records.encode(member), 1));
+            messenger.peers.put(vm, message -> Promise.<Either<Failure, AdviceGiven>>promise()
+                    .future());
+        }
     }
 
     @Test
@@ -51,7 +64,7 @@
 
         // then
         assertThat(messenger.asked).containsExactlyInAnyOrder("b", "c");
-        assertThat(dispatcher.idleChannels()).isZero();
+        assertThat(dispatcher.idleChannels("first")).isZero();
     }
 
     @Test
@@ -69,6 +82,57 @@
         // then
         assertThat(messenger.asked.stream().filter("b"::equals)).hasSize(1);
         clock.nowMs += 1_001;
-        assertThat(dispatcher.idleChannels()).isEqualTo(3);
+        assertThat(dispatcher.idleChannels("first")).isEqualTo(3);
+    }
+
+    @Test
+    void should_ask_through_another_vm_at_once_when_one_is_occupied_by_the_owner_of_another_pool() {
+        // given
+        Failure occupied = Failure.retryable(ErrorCode.OVERLOADED, "advice.call", "", "in progress", 400);
+        messenger.peers.put("b", message -> Future.succeededFuture(Either.left(occupied)));
+        messenger.peers.put("c", message -> Future.succeededFuture(Either.right(new AdviceGiven(Map.of(), 2_000))));
+
+        // when
+        Future<Either<Failure, AdviceService.Advice>> answer = ask();
+        ask();
+
+        // then
+        assertThat(answer.result().isRight()).isTrue();
+        assertThat(messenger.asked).containsExactly("b", "c", "c");
+    }
+
+    /** Guards against short calls that wait 0.6 s behind the long calls of another pool, as seen on a busy day. */
+    @Test
+    void should_leave_half_of_the_vms_of_other_pools_to_their_short_calls() {
+        // given
+        addVms("d", "e", "f", "g", "h");
+        pools = List.of("first", "second");
+
+        // when
+        for (int i = 0; i < 8; i++) {
+            ask("first", 640);
+        }
+
+        // then
+        assertThat(messenger.asked).containsExactlyInAnyOrder("c", "e", "g", "b", "d");
+    }
+
+    @Test
+    void should_keep_a_vm_free_for_short_calls_while_the_pool_makes_them() {
+        // given
+        addVms("d");
+        messenger.peers.put("b", message -> Future.succeededFuture(Either.right(new AdviceGiven(Map.of(), 2_000))));
+        ask("first", 20);
+        addVms("b");
+
+        // when
+        for (int i = 0; i < 8; i++) {
+            ask("first", 640);
+        }
+
+        // then
+        AdviceChannels left = dispatcher.channels("first");
+        assertThat(left.tryTake(640)).isFalse();
+        assertThat(left.tryTake(20)).isTrue();
     }
 }
