Serve work that can still meet its objective before work that can't, and worthless work last

Ruled out: advice (two channels idle), placement (all accelerators used). Change: lateness counts from the moment at which the objective can no longer be met (10% margin for estimates); a job without value ranks after all priorities and preempts nothing. The forecast for advice asks for a worker on which a task fits, not only for the sum of fragments. Tests: backlog_of_worthless_urgent_gangs fails on the old ranking (run on a scratch copy); jobs_after_a_burst passes on both and stays as a guard.

--- a/library/src/main/java/io/radishspindle/pool/core/JobState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/JobState.java
@@ -14,6 +14,10 @@
     private static final int ADVISED_WORKERS = 30;
     /** Beyond this multiple of the objective a job has no value left and runs last. */
     private static final int WORTHLESS_FACTOR = 3;
+    /** Lateness of a job that has no value left. */
+    static final int WORTHLESS = 2;
+    /** An objective counts as missed only when it is by this share of it, since estimates are rough. */
+    private static final double MISS_MARGIN = 0.1;
 
     final PoolJob job;
     final List<StepState> steps = new ArrayList<>();
@@ -67,14 +71,14 @@
         return dueWallMs(step.occurrence) + objectiveMs() - wallMs - remainingChainMs(step);
     }
 
-    /** 0 while the objective can be met, 1 when late, 2 when no value is left. */
+    /** 0 while the objective can be met, 1 when it can't, {@link #WORTHLESS} when no value is left. */
     int lateness(StepState step, long wallMs) {
         long objectiveMs = objectiveMs();
         long ageMs = wallMs - dueWallMs(step.occurrence);
         if (ageMs + remainingChainMs(step) > WORTHLESS_FACTOR * objectiveMs) {
-            return 2;
+            return WORTHLESS;
         }
-        return ageMs > objectiveMs ? 1 : 0;
+        return slackMs(step, wallMs) < -MISS_MARGIN * objectiveMs ? 1 : 0;
     }
 
     private long remainingChainMs(StepState step) {
--- a/library/src/main/java/io/radishspindle/pool/core/RoomForecast.java
+++ b/library/src/main/java/io/radishspindle/pool/core/RoomForecast.java
@@ -2,8 +2,9 @@
 
 import io.radishspindle.model.Resources;
 import io.radishspindle.pool.model.StepSpec;
+import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Map;
+import java.util.List;
 import java.util.TreeMap;
 
 /**
@@ -11,28 +12,54 @@
  * for. Steps are offered in rank order. Lives for one scheduling pass; not thread-safe.
  */
 final class RoomForecast {
-    /** Room that is free, or will be before a ticket that is asked for now expires. */
-    private Resources expected = Resources.NONE;
+    /** What a worker will have free before a ticket that is asked for now expires. */
+    private static final class Room {
+        Resources expected = Resources.NONE;
+        final TreeMap<Integer, Resources> preemptibleByPriority = new TreeMap<>();
 
-    private final TreeMap<Integer, Resources> preemptibleByPriority = new TreeMap<>();
+        void preemptible(int priority, Resources amount) {
+            preemptibleByPriority.merge(priority, amount, Resources::plus);
+        }
+
+        /** Room for a priority, which may preempt the lower ones. */
+        Resources forPriority(int priority) {
+            Resources sum = expected;
+            for (Resources lower :
+                    preemptibleByPriority.tailMap(priority, false).values()) {
+                sum = sum.plus(lower);
+            }
+            return sum;
+        }
+    }
+
+    private final List<Room> rooms = new ArrayList<>();
+    private final Room total = new Room();
     private Resources claimed = Resources.NONE;
 
     /** @param horizonMs time ahead that counts, in milliseconds */
     RoomForecast(Collection<WorkerState> workers, DurationStats durations, long nowMs, long horizonMs) {
         for (WorkerState worker : workers) {
-            if (!worker.isUsable(nowMs)) {
-                continue;
+            if (worker.isUsable(nowMs)) {
+                add(worker, durations, nowMs + horizonMs);
             }
-            expected = expected.plus(worker.free());
-            for (RunState run : worker.runs.values()) {
-                TaskState task = run.task;
-                if (task == null || endsBy(run, task.step, durations, nowMs + horizonMs)) {
-                    expected = expected.plus(run.reserved);
-                } else if (isPreemptible(task.step.spec)) {
-                    preemptibleByPriority.merge(task.step.job.job.priority(), run.reserved, Resources::plus);
-                }
+        }
+    }
+
+    private void add(WorkerState worker, DurationStats durations, long untilMs) {
+        Room room = new Room();
+        rooms.add(room);
+        room.expected = worker.free();
+        for (RunState run : worker.runs.values()) {
+            TaskState task = run.task;
+            if (task == null || endsBy(run, task.step, durations, untilMs)) {
+                room.expected = room.expected.plus(run.reserved);
+            } else if (isPreemptible(task.step.spec)) {
+                int priority = task.step.job.job.priority();
+                room.preemptible(priority, run.reserved);
+                total.preemptible(priority, run.reserved);
             }
         }
+        total.expected = total.expected.plus(room.expected);
     }
 
     private static boolean endsBy(RunState run, StepState step, DurationStats durations, long untilMs) {
@@ -48,12 +75,10 @@
 
     /** Whether a task of the step is likely to fit after all that ranks before it. */
     boolean expectsRoom(StepState step) {
-        Resources room = expected;
-        Map<Integer, Resources> lower = preemptibleByPriority.tailMap(step.job.job.priority(), false);
-        for (Resources preemptible : lower.values()) {
-            room = room.plus(preemptible);
-        }
-        return claimed.plus(step.spec.reserved()).fitsIn(room);
+        Resources need = step.spec.reserved();
+        int priority = step.job.job.priority();
+        return claimed.plus(need).fitsIn(total.forPriority(priority))
+                && rooms.stream().anyMatch(room -> need.fitsIn(room.forPriority(priority)));
     }
 
     /** Counts the waiting tasks of a step against the room of those that rank after it. */
--- a/library/src/main/java/io/radishspindle/pool/core/SchedulingPass.java
+++ b/library/src/main/java/io/radishspindle/pool/core/SchedulingPass.java
@@ -107,7 +107,7 @@
     }
 
     private boolean mayPreempt(StepState step) {
-        return !step.spec.fills() && nowMs - step.readySinceMs > PoolTiming.PREEMPT_AFTER_MS;
+        return !step.spec.fills() && !step.worthless && nowMs - step.readySinceMs > PoolTiming.PREEMPT_AFTER_MS;
     }
 
     private void stopAll(List<RunState> runs, String reason) {
--- a/library/src/main/java/io/radishspindle/pool/core/StepState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/StepState.java
@@ -26,6 +26,9 @@
     final Map<String, Ticket> tickets = new HashMap<>();
     final Set<String> askedWorkers = new HashSet<>();
     boolean adviceInFlight;
+    /** Whether the job had no value left when it was ranked last. */
+    boolean worthless;
+
     int doneTasks;
     int highestAttempt;
     long readySinceMs = -1;
--- a/library/src/test/java/io/radishspindle/pool/core/LoadPatternsTest.java
+++ b/library/src/test/java/io/radishspindle/pool/core/LoadPatternsTest.java
@@ -154,4 +154,55 @@
         assertThat(busiest).isLessThan(pool.adviceChannels);
         assertThat(pool.history.violations).isEmpty();
     }
+
+    /** Guards against small jobs that are starved by wide urgent ones which have lost their value long ago. */
+    @Test
+    void backlog_of_worthless_urgent_gangs_should_not_keep_batch_from_its_objective() {
+        // given
+        addWorkers(1, 64_000, 8);
+        for (int i = 0; i < 20; i++) {
+            pool.submit(SimJobs.job("gang" + i, 1, pool.nowMs, SimJobs.gang(1, 31_000, 8, 3_000)));
+        }
+        pool.runUntil(18_000);
+
+        // when
+        long submittedMs = pool.nowMs;
+        pool.submit(SimJobs.job("small", 2, pool.nowMs, SimJobs.step(8, 5_600, 1, 2_000)));
+        pool.runUntil(30_000);
+
+        // then
+        assertThat(firstStart("small", 8) - submittedMs).isLessThan(4_500);
+        pool.runUntil(80_000);
+        for (int i = 0; i < 20; i++) {
+            assertThat(pool.phase("gang" + i)).contains(JobPhase.COMPLETED);
+        }
+    }
+
+    /** Guards against an overload in which every job is late because the one that is latest always goes first. */
+    @Test
+    void jobs_after_a_burst_should_meet_their_objective_before_those_that_can_not_any_more() {
+        // given
+        addWorkers(1, 4_000, 0);
+        for (int i = 0; i < 10; i++) {
+            pool.submit(SimJobs.job("burst" + i, 0, pool.nowMs, SimJobs.step(4, 1_000, 0, 1_000)));
+        }
+
+        // when
+        int inTime = 0;
+        int submitted = 8;
+        for (int i = 0; i < submitted; i++) {
+            pool.runUntil(3_000 + i * 1_500L);
+            pool.submit(SimJobs.job("later" + i, 0, pool.nowMs, SimJobs.step(4, 1_000, 0, 1_000)));
+        }
+        pool.runUntil(30_000);
+
+        // then
+        for (int i = 0; i < submitted; i++) {
+            if (firstStart("later" + i, 4) - (3_000 + i * 1_500L) < 1_400) {
+                inTime++;
+            }
+        }
+        assertThat(inTime).isGreaterThanOrEqualTo(submitted / 2);
+        assertThat(pool.history.violations).isEmpty();
+    }
 }
