--- a/library/src/main/java/io/radishspindle/platform/http/HttpCaller.java
+++ b/library/src/main/java/io/radishspindle/platform/http/HttpCaller.java
@@ -101,6 +101,7 @@
                 return;
             }
             sent = true;
+            request.exceptionHandler(e -> finish(Either.left(new Broken(true, "connection broken: " + describe(e)))));
             Future<HttpClientResponse> response = body == null ? request.send() : request.send(body);
             response.onComplete(this::onResponse);
         }
