--- a/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
@@ -13,7 +13,6 @@
 import io.radishspindle.pool.port.WorkerControl.HoldOrder;
 import io.radishspindle.pool.port.WorkerControl.StartOrder;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -38,20 +37,21 @@
     private final Set<JobState> dirty = new LinkedHashSet<>();
     private final List<PoolAction> actions = new ArrayList<>();
     private final DurationStats durations = new DurationStats();
+    private final JobEvents jobEvents;
     private final RunEvents events;
+    private final ProgressLedger progress;
     private long recoveryEndsMs = Long.MIN_VALUE;
 
     /** Creates the scheduler of a pool without jobs and workers. */
     public PoolScheduler() {
-        events = new RunEvents(jobs, open, dirty, actions, durations);
+        jobEvents = new JobEvents(open, dirty, actions);
+        events = new RunEvents(jobs, open, jobEvents, actions, durations);
+        progress = new ProgressLedger(jobs, workers, dirty);
     }
 
     /** What stays known of a job that had ended before this owner took over. */
     private record EndedJob(JobPhase phase, long endedWallMs) {}
 
-    /** Progress to be written, with the ends that may be acknowledged once it is. */
-    public record Batch(Map<String, JobProgress> progress, Map<String, Long> sequences) {}
-
     /** Takes over a job that an earlier owner may have started. */
     public void load(PoolJob job, @Nullable JobProgress progress, boolean cancelled, long wallMs) {
         JobState state = new JobState(job, true);
@@ -97,7 +97,7 @@
         if (job == null || !job.isOpen()) {
             return false;
         }
-        events.endJob(job, JobPhase.CANCELLED, wallMs, "cancelled by the caller");
+        jobEvents.endJob(job, JobPhase.CANCELLED, wallMs, "cancelled by the caller");
         job.durablePhase = JobPhase.CANCELLED;
         return true;
     }
@@ -353,65 +353,9 @@
         return open.size();
     }
 
-    /** Whether progress waits to be written. */
-    public boolean hasDirty() {
-        return !dirty.isEmpty() || workers.values().stream().anyMatch(w -> w.seenSequence > w.durableSequence);
-    }
-
-    /** Whether the end of a job waits to be written, which callers wait for. */
-    public boolean hasDirtyEnds() {
-        return dirty.stream().anyMatch(job -> job.phase.isFinal());
-    }
-
-    /** Takes at most {@code limit} jobs whose progress has to be written; the rest stays for the next batch. */
-    public Batch takeDirty(int limit) {
-        Map<String, JobProgress> progress = new LinkedHashMap<>();
-        List<JobState> taken = new ArrayList<>();
-        dirty.stream().filter(job -> job.phase.isFinal()).limit(limit).forEach(taken::add);
-        dirty.stream()
-                .filter(job -> !job.phase.isFinal())
-                .limit(limit - taken.size())
-                .forEach(taken::add);
-        taken.forEach(job -> progress.put(job.job.id(), job.progress()));
-        taken.forEach(dirty::remove);
-        Map<String, Long> sequences = new HashMap<>();
-        if (dirty.isEmpty()) {
-            workers.forEach((id, worker) -> sequences.put(id, worker.seenSequence));
-        }
-        return new Batch(progress, sequences);
-    }
-
-    /** The batch has become durable. */
-    public void written(Batch batch, Map<String, Long> bootsAtTake) {
-        batch.progress().forEach((id, progress) -> {
-            JobState job = jobs.get(id);
-            if (job != null && progress.phase().isFinal()) {
-                job.durablePhase = progress.phase();
-            }
-        });
-        batch.sequences().forEach((id, sequence) -> {
-            WorkerState worker = workers.get(id);
-            if (worker != null && bootsAtTake.getOrDefault(id, -1L) == worker.bootWallMs) {
-                worker.durableSequence = Math.max(worker.durableSequence, sequence);
-            }
-        });
-    }
-
-    /** The batch could not be written; its jobs are written again. */
-    public void notWritten(Batch batch) {
-        batch.progress().keySet().forEach(id -> {
-            JobState job = jobs.get(id);
-            if (job != null) {
-                dirty.add(job);
-            }
-        });
-    }
-
-    /** Start times of all workers, which tell one life from the next. */
-    public Map<String, Long> boots() {
-        Map<String, Long> boots = new HashMap<>();
-        workers.forEach((id, worker) -> boots.put(id, worker.bootWallMs));
-        return boots;
+    /** What has to be written, and what is durable. */
+    public ProgressLedger progress() {
+        return progress;
     }
 
     /** Forgets jobs that ended before {@code untilWallMs}; yields their ids, at most {@code limit}. */
--- a/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
+++ b/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
@@ -2,7 +2,6 @@
 
 import io.radishspindle.model.Resources;
 import io.radishspindle.pool.core.RunState.Phase;
-import io.radishspindle.pool.model.JobPhase;
 import io.radishspindle.pool.model.RunEnd;
 import io.radishspindle.pool.model.TaskName;
 import io.radishspindle.pool.model.WorkerReport;
@@ -13,11 +12,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Applies what workers report to tasks and jobs. Belongs to its scheduler; not thread-safe.
+ * Applies what workers report to their runs. Belongs to its scheduler; not thread-safe.
  *
  * <p>Invariant: a run is released only by a listed end, by its absence from lists that were requested after the last
  * order about it was answered, by a new life of its worker, or by the end of every lease on its worker.
@@ -32,20 +30,20 @@
 
     private final Map<String, JobState> jobs;
     private final Map<String, JobState> open;
-    private final Set<JobState> dirty;
+    private final JobEvents jobEvents;
     private final List<PoolAction> actions;
     private final DurationStats durations;
 
     RunEvents(
             Map<String, JobState> jobs,
             Map<String, JobState> open,
-            Set<JobState> dirty,
+            JobEvents jobEvents,
             List<PoolAction> actions,
             DurationStats durations) {
         this.durations = durations;
         this.jobs = jobs;
         this.open = open;
-        this.dirty = dirty;
+        this.jobEvents = jobEvents;
         this.actions = actions;
     }
 
@@ -122,7 +120,7 @@
         }
         run.startUnknown = false;
         if (!running.checkpoint().isEmpty() && run.task != null) {
-            keepCheckpoint(run.task, running.checkpoint());
+            JobEvents.keepCheckpoint(run.task, running.checkpoint());
         }
         if (run.phase == Phase.STOPPING && nowMs - run.stopSentAtMs > STOP_REPEAT_MS) {
             stop(run, nowMs, "repeated stop");
@@ -176,21 +174,14 @@
             task.attempts = Math.max(task.attempts, running.run().attempt());
             task.step.highestAttempt = Math.max(task.step.highestAttempt, task.attempts);
             if (!running.checkpoint().isEmpty()) {
-                keepCheckpoint(task, running.checkpoint());
+                JobEvents.keepCheckpoint(task, running.checkpoint());
             }
-            markRunning(task.step.job);
+            jobEvents.markRunning(task.step.job);
         } else {
             stop(run, nowMs, "run of no open task");
         }
     }
 
-    private void markRunning(JobState job) {
-        if (job.phase == JobPhase.QUEUED) {
-            job.phase = JobPhase.RUNNING;
-            dirty.add(job);
-        }
-    }
-
     private static @Nullable TaskState find(Map<String, JobState> among, TaskName name) {
         JobState job = among.get(name.jobId());
         if (job == null
@@ -247,14 +238,14 @@
             task.attempts = Math.max(task.attempts, ended.run().attempt());
             task.step.highestAttempt = Math.max(task.step.highestAttempt, task.attempts);
             if (!ended.checkpoint().isEmpty()) {
-                keepCheckpoint(task, ended.checkpoint());
+                JobEvents.keepCheckpoint(task, ended.checkpoint());
             }
         }
         if (run != null) {
             finish(run, ended.end(), nowMs, wallMs);
         } else if (task != null) {
             // An end that an earlier owner has not acknowledged.
-            apply(task, ended.run().attempt(), ended.end(), worker, nowMs, wallMs);
+            jobEvents.apply(task, ended.run().attempt(), ended.end(), worker, nowMs, wallMs);
         }
     }
 
@@ -275,110 +266,11 @@
             run.worker.health.failed(nowMs);
             task.failedWorker = run.worker.id();
         }
-        apply(task, run.run.attempt(), end, run.worker, nowMs, wallMs);
-    }
-
-    private void apply(TaskState task, int attempt, RunEnd end, WorkerState worker, long nowMs, long wallMs) {
-        StepState step = task.step;
-        JobState job = step.job;
-        if (!job.isOpen()) {
-            return;
-        }
-        if (step.spec.lasting()) {
-            task.endsInRow = end == RunEnd.DONE || end == RunEnd.FAILED ? task.endsInRow + 1 : 0;
-            task.notBeforeMs =
-                    nowMs + Math.min(PoolTiming.RESTART_PAUSE_MS * task.endsInRow, PoolTiming.MAX_RESTART_PAUSE_MS);
-            step.readySinceMs = nowMs;
-            return;
-        }
-        if (end == RunEnd.DONE) {
-            succeeded(task, nowMs, wallMs);
-        } else if (end == RunEnd.FAILED) {
-            failed(task, attempt, wallMs);
-        }
-        if (!task.done && task.run == null) {
-            step.readySinceMs = nowMs;
-        }
-    }
-
-    private void succeeded(TaskState task, long nowMs, long wallMs) {
-        StepState step = task.step;
-        if (step.spec.gang()) {
-            // The members end together, so one success stands for all.
-            step.tasks.forEach(RunEvents::markDone);
-        } else {
-            markDone(task);
-        }
-        if (step.isDone()) {
-            step.doneAtMs = nowMs;
-        }
-        dirty.add(step.job);
-        boolean complete = step.job.steps.stream().allMatch(StepState::isDone);
-        if (complete) {
-            endJob(step.job, JobPhase.COMPLETED, wallMs, "all tasks have succeeded");
-        }
-    }
-
-    private static void markDone(TaskState task) {
-        if (!task.done) {
-            task.done = true;
-            task.step.doneTasks++;
-        }
-    }
-
-    private void failed(TaskState task, int attempt, long wallMs) {
-        StepState step = task.step;
-        JobState job = step.job;
-        if (task.done) {
-            return;
-        }
-        // All members of a gang fail together, so that one of them counts for the gang.
-        TaskState counter = step.spec.gang() ? step.tasks.get(0) : task;
-        if (!counter.failedAttempts.add(attempt)) {
-            return;
-        }
-        dirty.add(job);
-        int failures = counter.failedAttempts.size();
-        if (failures >= job.job.maxAttempts()) {
-            endJob(job, JobPhase.FAILED, wallMs, "task " + task.name + " has failed " + failures + " times");
-        }
-    }
-
-    void endJob(JobState job, JobPhase phase, long wallMs, String reason) {
-        job.phase = phase;
-        job.endedWallMs = wallMs;
-        open.remove(job.job.id());
-        if (phase != JobPhase.CANCELLED) {
-            dirty.add(job);
-        }
-        actions.add(new PoolAction.JobEnded(
-                job.job.id(),
-                job.job.queue(),
-                phase.name(),
-                reason,
-                wallMs - job.job.acceptedWallMs(),
-                job.timeline()));
-        for (StepState step : job.steps) {
-            for (TaskState task : step.tasks) {
-                if (task.run != null && phase != JobPhase.COMPLETED) {
-                    stop(task.run, task.run.sentAtMs, reason);
-                }
-            }
-        }
-    }
-
-    private static void keepCheckpoint(TaskState task, String checkpoint) {
-        if (task.step.spec.gang()) {
-            task.step.tasks.forEach(member -> member.checkpoint = checkpoint);
-        } else {
-            task.checkpoint = checkpoint;
-        }
+        jobEvents.apply(task, run.run.attempt(), end, run.worker, nowMs, wallMs);
     }
 
     private void stop(RunState run, long nowMs, String reason) {
-        run.phase = Phase.STOPPING;
-        run.stopSentAtMs = nowMs;
-        actions.add(new PoolAction.Stop(run.worker.entry, run.run, reason));
+        actions.add(run.stop(nowMs, reason));
     }
 
     /** Finds runs that have to be stopped: remains of gangs, filling runs beside serving ones, draining workers. */
--- a/library/src/main/java/io/radishspindle/pool/core/RunState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/RunState.java
@@ -49,6 +49,13 @@
         settledAtMs = Long.MAX_VALUE;
     }
 
+    /** Marks the run as stopping; yields the order for its worker. */
+    PoolAction.Stop stop(long nowMs, String reason) {
+        phase = Phase.STOPPING;
+        stopSentAtMs = nowMs;
+        return new PoolAction.Stop(worker.entry, run, reason);
+    }
+
     boolean isActive() {
         return phase == Phase.STARTING || phase == Phase.RUNNING;
     }
--- a/library/src/main/java/io/radishspindle/pool/core/SchedulingPass.java
+++ b/library/src/main/java/io/radishspindle/pool/core/SchedulingPass.java
@@ -1,6 +1,5 @@
 package io.radishspindle.pool.core;
 
-import io.radishspindle.pool.core.RunState.Phase;
 import io.radishspindle.pool.core.StepState.Ticket;
 import io.radishspindle.pool.model.JobPhase;
 import io.radishspindle.pool.model.Run;
@@ -111,11 +110,7 @@
     }
 
     private void stopAll(List<RunState> runs, String reason) {
-        for (RunState run : runs) {
-            run.phase = Phase.STOPPING;
-            run.stopSentAtMs = nowMs;
-            actions.add(new PoolAction.Stop(run.worker.entry, run.run, reason));
-        }
+        runs.forEach(run -> actions.add(run.stop(nowMs, reason)));
     }
 
     private void start(TaskState task, WorkerState worker, int attempt, String checkpoint, Set<JobState> dirty) {
--- a/library/src/main/java/io/radishspindle/pool/runtime/ProgressWriter.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/ProgressWriter.java
@@ -4,7 +4,7 @@
 import io.radishspindle.error.Failure;
 import io.radishspindle.platform.Clock;
 import io.radishspindle.pool.core.PoolScheduler;
-import io.radishspindle.pool.core.PoolScheduler.Batch;
+import io.radishspindle.pool.core.ProgressLedger.Batch;
 import io.radishspindle.pool.port.SharedStore;
 import io.radishspindle.pool.port.SharedStore.Item;
 import io.radishspindle.pool.port.SharedStore.Txn;
@@ -87,10 +87,10 @@
 
     /** Arranges a write if progress waits for one. */
     void poke() {
-        if (busy || closed || !scheduler.hasDirty()) {
+        if (busy || closed || !scheduler.progress().hasDirty()) {
             return;
         }
-        schedule(scheduler.hasDirtyEnds() ? END_DELAY_MS : DELAY_MS);
+        schedule(scheduler.progress().hasDirtyEnds() ? END_DELAY_MS : DELAY_MS);
     }
 
     private void schedule(long delayMs) {
@@ -110,8 +110,8 @@
         if (busy || closed) {
             return;
         }
-        Map<String, Long> boots = scheduler.boots();
-        Batch batch = scheduler.takeDirty(BATCH);
+        Map<String, Long> boots = scheduler.progress().boots();
+        Batch batch = scheduler.progress().take(BATCH);
         if (batch.progress().isEmpty()) {
             durable(batch, boots);
             return;
@@ -137,7 +137,7 @@
             return;
         }
         if (result.isLeft()) {
-            scheduler.notWritten(batch);
+            scheduler.progress().notWritten(batch);
             Failure failure = result.getLeft();
             if (failure.code() != ErrorCode.STORE_UNAVAILABLE && failure.notRun()) {
                 Logger.warn("event=progress-rejected pool={} error=\"{}\"", pool, failure.message());
@@ -147,7 +147,7 @@
             writes.forEach(write -> revisions.put(write.key(), result.get().revision()));
             durable(batch, boots);
         } else {
-            scheduler.notWritten(batch);
+            scheduler.progress().notWritten(batch);
             onConflict(result.get().current());
         }
     }
@@ -170,7 +170,7 @@
     }
 
     private void durable(Batch batch, Map<String, Long> boots) {
-        scheduler.written(batch, boots);
+        scheduler.progress().written(batch, boots);
         listener.onDurable();
         poke();
     }
--- a/library/src/test/java/io/radishspindle/pool/core/PoolSimulation.java
+++ b/library/src/test/java/io/radishspindle/pool/core/PoolSimulation.java
@@ -1,7 +1,7 @@
 package io.radishspindle.pool.core;
 
 import io.radishspindle.model.Resources;
-import io.radishspindle.pool.core.PoolScheduler.Batch;
+import io.radishspindle.pool.core.ProgressLedger.Batch;
 import io.radishspindle.pool.model.JobPhase;
 import io.radishspindle.pool.model.JobProgress;
 import io.radishspindle.pool.model.PoolJob;
@@ -140,14 +140,14 @@
     }
 
     private void write() {
-        if (storeDown || nowMs < nextWriteMs || !scheduler.hasDirty()) {
+        if (storeDown || nowMs < nextWriteMs || !scheduler.progress().hasDirty()) {
             return;
         }
         nextWriteMs = nowMs + WRITE_EVERY_MS;
-        Map<String, Long> boots = scheduler.boots();
-        Batch batch = scheduler.takeDirty(20);
+        Map<String, Long> boots = scheduler.progress().boots();
+        Batch batch = scheduler.progress().take(20);
         storedProgress.putAll(batch.progress());
-        scheduler.written(batch, boots);
+        scheduler.progress().written(batch, boots);
     }
 
     private void poll(String id, PoolScheduler owner, long ownToken) {
--- a/library/src/test/java/io/radishspindle/pool/runtime/ProgressWriterTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/ProgressWriterTest.java
@@ -5,6 +5,7 @@
 import io.radishspindle.model.Resources;
 import io.radishspindle.platform.SystemClock;
 import io.radishspindle.pool.core.PoolScheduler;
+import io.radishspindle.pool.core.ProgressLedger;
 import io.radishspindle.pool.model.JobPhase;
 import io.radishspindle.pool.model.JobProgress;
 import io.radishspindle.pool.model.PoolJob;
@@ -66,7 +67,9 @@
     private void write(JobPhase phase) throws TimeoutException {
         durable = Promise.promise();
         context.runOnContext(ignored -> {
-            scheduler.notWritten(new PoolScheduler.Batch(Map.of("j", new JobProgress(phase, 0, List.of())), Map.of()));
+            scheduler
+                    .progress()
+                    .notWritten(new ProgressLedger.Batch(Map.of("j", new JobProgress(phase, 0, List.of())), Map.of()));
             writer.poke();
         });
         durable.future().await(10, TimeUnit.SECONDS);
@@ -112,8 +115,10 @@
 
         // when
         context.runOnContext(ignored -> {
-            scheduler.notWritten(
-                    new PoolScheduler.Batch(Map.of("j", new JobProgress(JobPhase.RUNNING, 0, List.of())), Map.of()));
+            scheduler
+                    .progress()
+                    .notWritten(new ProgressLedger.Batch(
+                            Map.of("j", new JobProgress(JobPhase.RUNNING, 0, List.of())), Map.of()));
             writer.poke();
         });
 
