Relay watches as well while the store turns a VM away

Change: a watch goes through a peer like other calls, with a wait of 0.7 s. RelayedStoreTest has the case; on the old code the watch would have called the store directly and failed.

--- a/library/src/main/java/io/radishspindle/pool/runtime/RelayedStore.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/RelayedStore.java
@@ -30,6 +30,8 @@
 final class RelayedStore implements SharedStore {
     /** Limit of a relayed call, in milliseconds: a call to the store and a round trip between regions. */
     private static final long RELAY_TIMEOUT_MS = 1_300;
+    /** Wait of a relayed watch, in milliseconds; with a slow store it still ends within the limit above. */
+    private static final long RELAYED_WAIT_MS = 700;
     /** A call that waits longer than this counts as unanswered, in milliseconds; a slow store takes up to 400 ms. */
     private static final long SILENT_MS = 600;
     /** Bounds of what callers are told to wait, in milliseconds; they repeat a request up to four times. */
@@ -96,15 +98,27 @@
         return call(
                 () -> direct.list(prefix),
                 new RelayStore("list", prefix, 0, Map.of(), List.of(), List.of()),
-                reply -> new Listing(
-                        reply.items().stream().map(RelayedStore::item).toList(), reply.revision()));
+                RelayedStore::listing);
     }
 
     @Override
     public Future<Either<Failure, Listing>> watch(String prefix, long afterRevision, long waitMs) {
+        if (isDirectPathDown() && !peers.get().isEmpty()) {
+            RelayStore relay = new RelayStore("watch", prefix, afterRevision, Map.of(), List.of(), List.of());
+            return relay(relay, 0, unreachable("watch")).map(reply -> reply.map(RelayedStore::listing));
+        }
         return direct.watch(prefix, afterRevision, waitMs).onSuccess(this::observe);
     }
 
+    private static Failure unreachable(String operation) {
+        return Failure.retryable(
+                ErrorCode.STORE_UNAVAILABLE, "store." + operation, "store", "store is away", MIN_RETRY_AFTER_MS);
+    }
+
+    private static Listing listing(StoreRelayed reply) {
+        return new Listing(reply.items().stream().map(RelayedStore::item).toList(), reply.revision());
+    }
+
     @Override
     public Future<Either<Failure, TxnResult>> transact(Txn txn) {
         List<RelayedItem> writes = txn.writes().stream()
@@ -153,9 +167,7 @@
     private <T> Future<Either<Failure, T>> call(
             Supplier<Future<Either<Failure, T>>> directCall, RelayStore relay, Function<StoreRelayed, T> decoder) {
         if (isDirectPathDown()) {
-            Failure unreachable = Failure.retryable(
-                    ErrorCode.STORE_UNAVAILABLE, "store." + relay.operation(), "store", "store is away", 1_000);
-            return relay(relay, 0, unreachable).compose(reply -> {
+            return relay(relay, 0, unreachable(relay.operation())).compose(reply -> {
                 boolean notRun = reply.isLeft() && reply.getLeft().notRun();
                 return notRun && peers.get().isEmpty()
                         ? direct(directCall)
@@ -224,6 +236,10 @@
                 direct.list(message.key())
                         .map(result -> result.map(
                                 listing -> new StoreRelayed(true, listing.revision(), relayed(listing.items()))));
+            case "watch" ->
+                direct.watch(message.key(), message.number(), RELAYED_WAIT_MS)
+                        .map(result -> result.map(
+                                listing -> new StoreRelayed(true, listing.revision(), relayed(listing.items()))));
             case "renew" ->
                 direct.renewLease(message.number())
                         .map(result -> result.map(ttlMs -> new StoreRelayed(true, ttlMs, List.of())));
--- a/library/src/main/java/io/radishspindle/protocol/message/PoolMessages.java
+++ b/library/src/main/java/io/radishspindle/protocol/message/PoolMessages.java
@@ -55,7 +55,7 @@
      *
      * @param operation name of the call
      * @param key key, prefix or lease
-     * @param number lease or time to live, as the call needs it
+     * @param number lease, time to live, or the revision after which to watch, as the call needs it
      */
     public record RelayStore(
             String operation,
--- a/library/src/test/java/io/radishspindle/pool/runtime/RelayedStoreTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/RelayedStoreTest.java
@@ -5,6 +5,7 @@
 import io.radishspindle.error.ErrorCode;
 import io.radishspindle.error.Failure;
 import io.radishspindle.platform.SystemClock;
+import io.radishspindle.pool.port.SharedStore.Listing;
 import io.radishspindle.pool.port.SharedStore.Txn;
 import io.radishspindle.pool.port.SharedStore.TxnResult;
 import io.radishspindle.pool.port.SharedStore.Write;
@@ -98,4 +99,23 @@
         assertThat(result.getLeft().notRun()).isTrue();
         assertThat(messenger.asked).hasSize(2);
     }
+
+    /** Guards against listing everything several times a second for as long as the store turns this VM away. */
+    @Test
+    void should_watch_through_a_peer_while_the_store_turns_this_vm_away() {
+        // given
+        direct.fault = Fault.REFUSE;
+        write();
+        int directCalls = direct.calls;
+
+        // when
+        Either<Failure, Listing> changes = store.watch("k", 0, 1_500).await();
+        Either<Failure, Listing> none =
+                store.watch("k", changes.get().revision(), 1_500).await();
+
+        // then
+        assertThat(changes.get().items()).hasSize(1);
+        assertThat(none.get().items()).isEmpty();
+        assertThat(direct.calls).isEqualTo(directCalls);
+    }
 }
