Divide large pools into slices, each with an owner of its own

Change: a pool has one slice for about 300 workers. Each slice has its own owner, keys and workers; jobs are assigned by their id, workers by their rack. The number of slices is written once, after the number of registered workers has settled, or at once when jobs arrive. A pool with one slice keeps its name and keys. Candidates for owners are kept until the view changes: sorting them for each pool at each tick would load every VM of a large fleet.

--- a/library/src/main/java/io/radishspindle/pool/model/PoolJob.java
+++ b/library/src/main/java/io/radishspindle/pool/model/PoolJob.java
@@ -31,4 +31,25 @@
     public PoolJob {
         steps = List.copyOf(steps);
     }
+
+    /** The same job in another pool or slice of a pool. */
+    public PoolJob inPool(String other) {
+        return other.equals(pool)
+                ? this
+                : new PoolJob(
+                        id,
+                        queue,
+                        other,
+                        payload,
+                        steps,
+                        occurrences,
+                        firstStartWallMs,
+                        periodMs,
+                        acceptedWallMs,
+                        priority,
+                        maxAttempts,
+                        slowdownFactor,
+                        objectiveMs,
+                        advice);
+    }
 }
--- a/library/src/main/java/io/radishspindle/pool/runtime/ControlView.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/ControlView.java
@@ -4,6 +4,7 @@
 import io.radishspindle.pool.port.SharedStore.Item;
 import io.radishspindle.pool.runtime.Records.Member;
 import io.radishspindle.pool.runtime.Records.Owner;
+import io.radishspindle.pool.runtime.Records.Slices;
 import io.radishspindle.protocol.PeerDirectory;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -13,11 +14,11 @@
 import java.util.Set;
 
 /**
- * What this VM knows of the other VMs and of the owners of pools, as followed in the shared store. Belongs to one
- * event loop.
+ * What this VM knows of the other VMs and of the owners and slices of pools, as followed in the shared store. Belongs
+ * to one event loop.
  *
- * <p>Invariant: the address of a VM stays known after its entry has gone, so that VMs still reach each other while
- * the store is away.
+ * <p>Invariants: the address of a VM stays known after its entry has gone, so that VMs still reach each other while
+ * the store is away; a number of slices that was read stays known.
  */
 final class ControlView implements PrefixWatch.Listener, PeerDirectory {
     /** An owner with the revision of its claim, which is its fencing token. */
@@ -28,6 +29,8 @@
     private final Map<String, Member> known = new HashMap<>();
     private final Map<String, Ownership> owners = new HashMap<>();
     private final Map<String, Long> ownerlessSinceMs = new HashMap<>();
+    private final Map<String, Integer> sliceCounts = new HashMap<>();
+    private long version;
 
     ControlView(Clock clock) {
         this.clock = clock;
@@ -35,6 +38,7 @@
 
     @Override
     public void listed(List<Item> items) {
+        version++;
         Set<String> keys = new HashSet<>();
         items.forEach(item -> keys.add(item.key()));
         live.keySet().removeIf(vm -> !keys.contains(StoreKeys.member(vm)));
@@ -46,6 +50,7 @@
 
     @Override
     public void changed(Item item) {
+        version++;
         byte[] value = item.value();
         if (StoreKeys.isMember(item.key())) {
             String vm = StoreKeys.memberId(item.key());
@@ -67,6 +72,9 @@
                     ownerlessSinceMs.remove(pool);
                 });
             }
+        } else if (StoreKeys.isSlices(item.key()) && value != null) {
+            Records.decode(item.key(), value, Slices.class)
+                    .onSuccess(slices -> sliceCounts.put(StoreKeys.slicedPool(item.key()), slices.count()));
         }
     }
 
@@ -75,6 +83,16 @@
         ownerlessSinceMs.put(pool, clock.nowMs());
     }
 
+    /** Rises with every change, so that what is derived from the view can be kept until then. */
+    long version() {
+        return version;
+    }
+
+    /** Number of slices of a pool; empty while it is undecided or has not been read. */
+    Optional<Integer> sliceCount(String pool) {
+        return Optional.ofNullable(sliceCounts.get(pool));
+    }
+
     /** VMs whose entries are present. */
     Map<String, Member> live() {
         return live;
--- a/library/src/main/java/io/radishspindle/pool/runtime/JobDirectory.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/JobDirectory.java
@@ -115,25 +115,25 @@
             Optional<Integer> count = local.pending(queue);
             return count.isPresent()
                     ? Future.succeededFuture(Either.right(count.get()))
-                    : Future.succeededFuture(cachedPending(queue));
+                    : Future.succeededFuture(cachedPending(pool, queue));
         }
         Optional<String> owner = remoteOwner(pool);
         if (owner.isEmpty()) {
-            return Future.succeededFuture(cachedPending(queue));
+            return Future.succeededFuture(cachedPending(pool, queue));
         }
         return messenger
                 .request(owner.get(), new QueryPending(pool, queue), PendingJobs.class, OWNER_TIMEOUT_MS)
                 .map(reply -> {
                     if (reply.isLeft() || reply.get().count() < 0) {
-                        return cachedPending(queue);
+                        return cachedPending(pool, queue);
                     }
-                    lastPending.put(queue, reply.get().count());
+                    lastPending.put(pool + "/" + queue, reply.get().count());
                     return Either.right(reply.get().count());
                 });
     }
 
-    private Either<Failure, Integer> cachedPending(String queue) {
-        Integer last = lastPending.get(queue);
+    private Either<Failure, Integer> cachedPending(String pool, String queue) {
+        Integer last = lastPending.get(pool + "/" + queue);
         return last == null
                 ? Either.left(Failure.retryable(
                         ErrorCode.NO_OWNER, "queue.pending", queue, "the pool has no owner", RETRY_AFTER_MS))
--- a/library/src/main/java/io/radishspindle/pool/runtime/OwnerElection.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/OwnerElection.java
@@ -39,6 +39,9 @@
     /** An owner that answers no ping for this long is replaced; shorter pauses occur on a busy VM. */
     private static final long SILENT_OWNER_MS = 900;
 
+    /** Candidates as they were at a state of the view and of the own claims. */
+    private record Candidates(String excluded, long viewVersion, Set<String> ownPools, List<String> order) {}
+
     /** Called when a claim has succeeded. */
     interface Listener {
         void claimed(String pool, long fencingToken);
@@ -55,6 +58,7 @@
     private final Set<String> claiming = new HashSet<>();
     private final Map<String, Long> lastPingMs = new HashMap<>();
     private final Map<String, Long> silentSinceMs = new HashMap<>();
+    private final Map<String, Candidates> lastCandidates = new HashMap<>();
     private boolean closed;
 
     OwnerElection(
@@ -147,12 +151,27 @@
         }
     }
 
+    /** Kept until something changes: sorting hundreds of VMs for each pool at each tick would load every VM. */
+    private List<String> candidates(String pool, String excluded) {
+        Set<String> ownPools = new HashSet<>(held.keySet());
+        ownPools.addAll(claiming);
+        Candidates last = lastCandidates.get(pool);
+        if (last == null
+                || !last.excluded().equals(excluded)
+                || last.viewVersion() != view.version()
+                || !last.ownPools().equals(ownPools)) {
+            last = new Candidates(excluded, view.version(), ownPools, rank(pool, excluded, ownPools));
+            lastCandidates.put(pool, last);
+        }
+        return last.order();
+    }
+
     /**
      * Live VMs in the order in which they should own a pool: those without a pool first, then those in the region
      * with the most VMs, where the store and most workers are; strong VMs before weak ones; a hash spreads pools over
      * equals.
      */
-    private List<String> candidates(String pool, String excluded) {
+    private List<String> rank(String pool, String excluded, Set<String> ownPools) {
         Map<String, Member> live = view.live();
         Map<String, Integer> vmsByRegion = new HashMap<>();
         live.values().forEach(member -> vmsByRegion.merge(member.region(), 1, Integer::sum));
@@ -162,8 +181,7 @@
                 owning.add(ownership.owner().vmId());
             }
         });
-        if (held.keySet().stream().anyMatch(other -> !other.equals(pool))
-                || claiming.stream().anyMatch(other -> !other.equals(pool))) {
+        if (ownPools.stream().anyMatch(other -> !other.equals(pool))) {
             owning.add(self.vmId());
         }
         List<String> order = new ArrayList<>(live.keySet());
--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolNode.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolNode.java
@@ -59,6 +59,8 @@
     private final MetricRegistry metrics;
     private final TcpPeerMessenger messenger;
     private final ControlView view;
+    private final PoolSlices slices;
+    private final SliceSizing sizing;
     private final NodeLease lease;
     private final OwnerElection election;
     private final AdviceChannel channel;
@@ -90,14 +92,16 @@
         this.self = self;
         this.metrics = metrics;
         view = new ControlView(clock);
+        slices = new PoolSlices(view);
         // Every VM of the deployment can reach the store, so the key only keeps out stray connections.
         messenger =
                 new TcpPeerMessenger(vertx, clock, self.vmId(), self.host(), self.peerPort(), "radishspindle", view);
         store = new RelayedStore(clock, platformStore, messenger, this::otherVms);
+        sizing = new SliceSizing(clock, store, codec, view, self);
         lease = new NodeLease(vertx, store, self);
         election = new OwnerElection(clock, store, view, self, lease, messenger, this::claimed);
         channel = new AdviceChannel(clock, adviceService);
-        advice = new AdviceDispatcher(clock, channel, messenger, self, view, this::poolNames);
+        advice = new AdviceDispatcher(clock, channel, messenger, self, view, this::sliceNames);
         intake = new JobIntake(vertx, clock, store, this::tellOwner, store::isDirectPathDown, store::retryAfterMs);
         directory = new JobDirectory(store, messenger, view, self, owned);
         configWatch =
@@ -118,7 +122,8 @@
     private void tick() {
         PoolConfig current = config;
         if (current != null && controlWatch.isListed() && !draining) {
-            election.tick(current.pools());
+            sizing.tick(current.pools());
+            election.tick(sliceNames());
         }
     }
 
@@ -129,9 +134,9 @@
                 .toList();
     }
 
-    private List<String> poolNames() {
+    private List<String> sliceNames() {
         PoolConfig current = config;
-        return current == null ? List.of() : current.pools();
+        return current == null ? List.of() : slices.of(current.pools());
     }
 
     private void storeAnswered(boolean answered) {
@@ -140,7 +145,10 @@
 
     /** Whether new connections should come to this VM. */
     public boolean isReady() {
-        return !draining && config != null && clock.nowMs() - configWatch.lastSuccessMs() < STORE_SILENT_MS;
+        return !draining
+                && config != null
+                && controlWatch.isListed()
+                && clock.nowMs() - configWatch.lastSuccessMs() < STORE_SILENT_MS;
     }
 
     /** The configuration in force; empty before the first one has been read. */
@@ -162,22 +170,40 @@
 
     /** Stores a job; see {@link JobIntake#submit}. */
     public Future<Either<Failure, PoolJob>> submit(PoolJob job, long deadlineMs) {
-        return intake.submit(job, deadlineMs);
+        return slices.assign(job)
+                .map(assigned -> intake.submit(assigned, deadlineMs))
+                .orElseGet(this::refuseUnsized);
     }
 
     /** Phase of a job; empty if no such job exists. */
     public Future<Either<Failure, Optional<JobPhase>>> phase(String pool, String jobId) {
-        return directory.phase(pool, jobId);
+        return slices.ofJob(pool, jobId)
+                .map(slice -> directory.phase(slice, jobId))
+                .orElseGet(this::refuseUnsized);
     }
 
     /** Cancels a job; false if no such job exists. */
     public Future<Either<Failure, Boolean>> cancel(String pool, String jobId) {
-        return directory.cancel(pool, jobId);
+        return slices.ofJob(pool, jobId)
+                .map(slice -> directory.cancel(slice, jobId))
+                .orElseGet(this::refuseUnsized);
     }
 
     /** Number of jobs of a queue without a started task. */
     public Future<Either<Failure, Integer>> pending(String pool, String queue) {
-        return directory.pending(pool, queue);
+        List<String> names = slices.of(pool);
+        if (names.isEmpty()) {
+            return refuseUnsized();
+        }
+        List<Future<Either<Failure, Integer>>> counts =
+                names.stream().map(slice -> directory.pending(slice, queue)).toList();
+        return Future.join(counts).map(all -> Either.sequenceRight(all.<Either<Failure, Integer>>list())
+                .map(found -> found.sum().intValue()));
+    }
+
+    private <T> Future<Either<Failure, T>> refuseUnsized() {
+        sizing.hurry();
+        return Future.succeededFuture(Either.left(notReady()));
     }
 
     private void tellOwner(PoolJob job) {
@@ -199,7 +225,7 @@
             previous.close();
         }
         owner.start(workers.values().stream()
-                .filter(worker -> worker.pool().equals(pool))
+                .filter(worker -> slices.ofWorker(worker).filter(pool::equals).isPresent())
                 .toList());
         watchWorkers();
     }
@@ -262,6 +288,10 @@
         return Optional.ofNullable(owned.get(pool));
     }
 
+    private Optional<PoolOwner> ownerOf(WorkerEntry worker) {
+        return slices.ofWorker(worker).flatMap(this::ownerOf);
+    }
+
     private static Future<Either<Failure, PeerMessage>> answer(PeerMessage message) {
         return Future.succeededFuture(Either.right(message));
     }
@@ -272,7 +302,7 @@
 
     /** Refusal of a VM that has no configuration yet. */
     public static Failure notReady() {
-        return Failure.retryable(ErrorCode.NOT_READY, "entry.route", "", "no configuration yet", 1_000);
+        return Failure.retryable(ErrorCode.NOT_READY, "entry.route", "", "no configuration of the pool yet", 1_000);
     }
 
     /** The operators' configuration. */
@@ -322,17 +352,17 @@
             }
             codec.worker(item.key(), value).ifPresent(entry -> {
                 WorkerEntry before = workers.put(entry.id(), entry);
-                if (before != null && !before.pool().equals(entry.pool())) {
-                    ownerOf(before.pool()).ifPresent(owner -> owner.workerUnlisted(entry.id()));
+                if (before != null && !slices.ofWorker(before).equals(slices.ofWorker(entry))) {
+                    ownerOf(before).ifPresent(owner -> owner.workerUnlisted(entry.id()));
                 }
-                ownerOf(entry.pool()).ifPresent(owner -> owner.workerListed(entry));
+                ownerOf(entry).ifPresent(owner -> owner.workerListed(entry));
             });
         }
 
         private void gone(String id) {
             WorkerEntry entry = workers.remove(id);
             if (entry != null) {
-                ownerOf(entry.pool()).ifPresent(owner -> owner.workerUnlisted(id));
+                ownerOf(entry).ifPresent(owner -> owner.workerUnlisted(id));
             }
         }
 
--- a/library/src/main/java/io/radishspindle/pool/runtime/Records.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/Records.java
@@ -23,6 +23,9 @@
     /** The VM that owns a pool, with the boot that claimed it. */
     record Owner(String vmId, String boot) {}
 
+    /** Number of slices of a pool. */
+    record Slices(int count) {}
+
     private Records() {}
 
     static byte[] encode(Object value) {
--- a/library/src/main/java/io/radishspindle/pool/runtime/StoreKeys.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/StoreKeys.java
@@ -8,6 +8,7 @@
 
     private static final String MEMBERS = CONTROL + "members/";
     private static final String OWNERS = CONTROL + "owners/";
+    private static final String SLICES = CONTROL + "slices/";
 
     private StoreKeys() {}
 
@@ -35,6 +36,19 @@
         return key.substring(OWNERS.length());
     }
 
+    /** Number of slices of a pool; written once. */
+    static String slices(String pool) {
+        return SLICES + pool;
+    }
+
+    static boolean isSlices(String key) {
+        return key.startsWith(SLICES);
+    }
+
+    static String slicedPool(String key) {
+        return key.substring(SLICES.length());
+    }
+
     /** Jobs and cancellations of a pool, which its owner watches. */
     static String intake(String pool) {
         return ROOT + "intake/" + pool + "/";
