Read the configuration through two VMs in a distant region

Ruled out: the silent store alone (the VMs of oberbayern had version 15 within 3 s of its return); the relay of store calls (it repeats the reads and adds to the load, but each first read failed before).

Change: in a region of six VMs or more away from the store, two strong VMs in different data centres read the configuration; the others ask them, and read it themselves only if no reader has answered for 1.5 s.

--- a/library/src/main/java/io/radishspindle/pool/port/SharedStore.java
+++ b/library/src/main/java/io/radishspindle/pool/port/SharedStore.java
@@ -13,7 +13,7 @@
  * watches. Implementations belong to one event loop. The returned futures never fail; a failure with {@code notRun}
  * false leaves open whether the call was executed or will be.
  */
-public interface SharedStore {
+public interface SharedStore extends PrefixReader {
     /** Most keys in one transaction, conditions, writes and removals together. */
     int MAX_TXN_ENTRIES = 32;
 
@@ -44,15 +44,6 @@
     /** Reads a key; empty if it does not exist. */
     Future<Either<Failure, Optional<Item>>> get(String key);
 
-    /** Reads all keys under a prefix, page by page. */
-    Future<Either<Failure, Listing>> list(String prefix);
-
-    /**
-     * Waits for changes after a revision, at most {@code waitMs} milliseconds. Fails with code {@code CONFLICT} if
-     * that history is no longer available.
-     */
-    Future<Either<Failure, Listing>> watch(String prefix, long afterRevision, long waitMs);
-
     Future<Either<Failure, TxnResult>> transact(Txn txn);
 
     /** Creates a lease of {@code ttlMs} milliseconds; yields its id. */
--- a/library/src/main/java/io/radishspindle/pool/runtime/ControlView.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/ControlView.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 
 /**
  * What this VM knows of the other VMs and of the owners and slices of pools, as followed in the shared store. Belongs
@@ -98,6 +99,19 @@
         return live;
     }
 
+    /** Region with the most VMs, where the store is; the first by name if several have as many. */
+    String homeRegion() {
+        Map<String, Integer> vms = new TreeMap<>();
+        live.values().forEach(member -> vms.merge(member.region(), 1, Integer::sum));
+        String home = "";
+        for (Map.Entry<String, Integer> region : vms.entrySet()) {
+            if (home.isEmpty() || region.getValue() > vms.getOrDefault(home, 0)) {
+                home = region.getKey();
+            }
+        }
+        return home;
+    }
+
     Optional<Ownership> owner(String pool) {
         return Optional.ofNullable(owners.get(pool));
     }
--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolNode.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolNode.java
@@ -23,6 +23,7 @@
 import io.radishspindle.protocol.message.PoolMessages.PoolJobState;
 import io.radishspindle.protocol.message.PoolMessages.PoolPing;
 import io.radishspindle.protocol.message.PoolMessages.PoolPong;
+import io.radishspindle.protocol.message.PoolMessages.QueryConfig;
 import io.radishspindle.protocol.message.PoolMessages.QueryPending;
 import io.radishspindle.protocol.message.PoolMessages.QueryPoolJob;
 import io.radishspindle.protocol.message.PoolMessages.RelayStore;
@@ -67,6 +68,7 @@
     private final AdviceDispatcher advice;
     private final JobIntake intake;
     private final JobDirectory directory;
+    private final ConfigRelay configRelay;
     private final PrefixWatch configWatch;
     private @Nullable PrefixWatch workerWatch;
     private final PrefixWatch controlWatch;
@@ -104,8 +106,9 @@
         advice = new AdviceDispatcher(clock, channel, messenger, self, view, this::sliceNames);
         intake = new JobIntake(vertx, clock, store, this::tellOwner, store::isDirectPathDown, store::retryAfterMs);
         directory = new JobDirectory(store, messenger, view, self, owned);
-        configWatch =
-                new PrefixWatch(vertx, clock, store, codec.configKey(), 0, new ConfigListener(), this::storeAnswered);
+        configRelay = new ConfigRelay(vertx, clock, store, messenger, view, self, this::hasFreshConfig);
+        configWatch = new PrefixWatch(
+                vertx, clock, configRelay, codec.configKey(), 0, new ConfigListener(), this::storeAnswered);
         controlWatch = new PrefixWatch(vertx, clock, store, StoreKeys.CONTROL, 20, view, this::storeAnswered);
     }
 
@@ -145,10 +148,11 @@
 
     /** Whether new connections should come to this VM. */
     public boolean isReady() {
-        return !draining
-                && config != null
-                && controlWatch.isListed()
-                && clock.nowMs() - configWatch.lastSuccessMs() < STORE_SILENT_MS;
+        return !draining && controlWatch.isListed() && hasFreshConfig();
+    }
+
+    private boolean hasFreshConfig() {
+        return config != null && clock.nowMs() - configWatch.lastSuccessMs() < STORE_SILENT_MS;
     }
 
     /** The configuration in force; empty before the first one has been read. */
@@ -278,6 +282,7 @@
                 (vm, message) -> answer(new PendingJobs(ownerOf(message.pool())
                         .flatMap(owner -> owner.pending(message.queue()))
                         .orElse(-1))));
+        messenger.handle(QueryConfig.class, (vm, message) -> configRelay.serve(message));
         messenger.handle(RelayStore.class, (vm, message) -> store.serve(message).map(Either::narrow));
         messenger.handle(AskAdvice.class, (vm, message) -> channel.advise(
                         message.step(), message.workers(), message.expectedMs())
@@ -318,6 +323,7 @@
             if (value == null || !item.key().equals(codec.configKey())) {
                 return;
             }
+            configRelay.seen(item);
             codec.config(value).ifPresent(next -> {
                 if (config == null || next.version() > config.version()) {
                     Logger.info(
--- a/library/src/main/java/io/radishspindle/pool/runtime/PrefixWatch.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PrefixWatch.java
@@ -3,7 +3,7 @@
 import io.radishspindle.error.ErrorCode;
 import io.radishspindle.error.Failure;
 import io.radishspindle.platform.Clock;
-import io.radishspindle.pool.port.SharedStore;
+import io.radishspindle.pool.port.PrefixReader;
 import io.radishspindle.pool.port.SharedStore.Item;
 import io.radishspindle.pool.port.SharedStore.Listing;
 import io.vavr.control.Either;
@@ -37,7 +37,7 @@
 
     private final Vertx vertx;
     private final Clock clock;
-    private final SharedStore store;
+    private final PrefixReader store;
     private final String prefix;
     private final long pauseMs;
     private final Listener listener;
@@ -56,7 +56,7 @@
     PrefixWatch(
             Vertx vertx,
             Clock clock,
-            SharedStore store,
+            PrefixReader store,
             String prefix,
             long pauseMs,
             Listener listener,
--- a/library/src/main/java/io/radishspindle/protocol/MessageTypes.java
+++ b/library/src/main/java/io/radishspindle/protocol/MessageTypes.java
@@ -43,7 +43,9 @@
             Map.entry(22, PoolMessages.AskAdvice.class),
             Map.entry(23, PoolMessages.AdviceGiven.class),
             Map.entry(24, PoolMessages.RelayStore.class),
-            Map.entry(25, PoolMessages.StoreRelayed.class));
+            Map.entry(25, PoolMessages.StoreRelayed.class),
+            Map.entry(26, PoolMessages.QueryConfig.class),
+            Map.entry(27, PoolMessages.ConfigAnswer.class));
 
     private MessageTypes() {}
 }
--- a/library/src/main/java/io/radishspindle/protocol/message/PoolMessages.java
+++ b/library/src/main/java/io/radishspindle/protocol/message/PoolMessages.java
@@ -66,6 +66,16 @@
             List<String> removals)
             implements PeerMessage {}
 
+    /**
+     * Asks a VM of the same region for the operators' configuration; answered by {@link ConfigAnswer}.
+     *
+     * @param afterRevision the answer waits for a later revision, at most {@code waitMs} milliseconds
+     */
+    public record QueryConfig(long afterRevision, long waitMs) implements PeerMessage {}
+
+    /** The configuration as the store keeps it; an empty value says that there is no later one. */
+    public record ConfigAnswer(String key, byte[] value, long revision) implements PeerMessage {}
+
     /** Result of a relayed call. */
     public record StoreRelayed(boolean applied, long revision, List<RelayedItem> items) implements PeerMessage {}
 }
--- /dev/null
+++ b/library/src/test/java/io/radishspindle/pool/runtime/ConfigRelayTest.java
@@ -0,0 +1,226 @@
+package io.radishspindle.pool.runtime;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.radishspindle.error.Failure;
+import io.radishspindle.pool.port.SharedStore.Item;
+import io.radishspindle.pool.port.SharedStore.Listing;
+import io.radishspindle.protocol.PeerMessage;
+import io.radishspindle.protocol.message.PoolMessages.ConfigAnswer;
+import io.radishspindle.protocol.message.PoolMessages.QueryConfig;
+import io.vavr.control.Either;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Guards against a large configuration that every VM of a distant region reads over the link between regions, and
+ * against VMs that are left without the configuration.
+ */
+class ConfigRelayTest {
+    private static final String KEY = "op/config";
+
+    private final FakeSharedStore store = new FakeSharedStore();
+    private final FakeMessenger messenger = new FakeMessenger();
+    private final ManualClock clock = new ManualClock();
+    private final ControlView view = new ControlView(clock);
+    private Vertx vertx;
+    private boolean fresh = true;
+
+    @BeforeEach
+    void createFleet() {
+        vertx = Vertx.vertx();
+        store.items.put(KEY, new Item(KEY, new byte[] {1}, 7));
+        addRegion("home", 8);
+        addRegion("far", 7);
+    }
+
+    @AfterEach
+    void closeVertx() {
+        vertx.close().await();
+    }
+
+    /** VMs 0 and 1 of a region are the strongest, and in one data centre. */
+    private void addRegion(String region, int vms) {
+        for (int i = 0; i < vms; i++) {
+            Records.Member member =
+                    new Records.Member("10.0.0.1", 80, region + (i < 2 ? "-a" : "-b"), region, "1", vms - i);
+            view.changed(new Item(StoreKeys.member(region + "-" + i), Records.encode(member), 1));
+        }
+    }
+
+    private ConfigRelay relay(String vm) {
+        String region = vm.substring(0, vm.indexOf('-'));
+        NodeIdentity self = new NodeIdentity(vm, "1", "10.0.0.1", 80, region + "-a", region, 1);
+        return new ConfigRelay(vertx, clock, store, messenger, view, self, () -> fresh);
+    }
+
+    private void serve(String vm, ConfigRelay relay) {
+        messenger.peers.put(vm, message -> relay.serve((QueryConfig) message));
+    }
+
+    private static Listing get(Future<Either<Failure, Listing>> result) {
+        return result.result().get();
+    }
+
+    /** Load pattern: hundreds of kilobytes of configuration reach a region of many VMs over a narrow link. */
+    @Test
+    void should_read_the_store_for_two_vms_of_a_distant_region_only() {
+        // given
+        List<ConfigRelay> relays = new ArrayList<>();
+        for (int i = 0; i < 7; i++) {
+            ConfigRelay relay = relay("far-" + i);
+            relays.add(relay);
+            serve("far-" + i, relay);
+        }
+
+        // when
+        List<Listing> seen = new ArrayList<>();
+        for (int i : new int[] {0, 2, 1, 3, 4, 5, 6}) {
+            Listing listing = get(relays.get(i).list(KEY));
+            listing.items().forEach(relays.get(i)::seen);
+            seen.add(listing);
+        }
+
+        // then
+        assertThat(seen).allSatisfy(listing -> assertThat(listing.items()).containsExactly(store.items.get(KEY)));
+        assertThat(store.calls).isEqualTo(2);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"home-5", "far-0", "far-2"})
+    void should_read_the_store_directly_near_it_and_as_a_reader(String vm) {
+        Listing listing = get(relay(vm).list(KEY));
+
+        assertThat(listing.items()).hasSize(1);
+        assertThat(messenger.asked).isEmpty();
+    }
+
+    @Test
+    void should_read_the_store_directly_in_a_small_region() {
+        addRegion("small", 5);
+
+        get(relay("small-4").list(KEY));
+
+        assertThat(store.calls).isEqualTo(1);
+    }
+
+    @Test
+    void should_ask_the_second_reader_when_the_first_does_not_answer() {
+        // given
+        ConfigRelay second = relay("far-2");
+        second.seen(store.items.get(KEY));
+        serve("far-2", second);
+        ConfigRelay asking = relay("far-6");
+
+        // when
+        Listing listing = get(asking.watch(KEY, 3, 1_500));
+        get(asking.watch(KEY, 3, 1_500));
+
+        // then
+        assertThat(listing.items()).hasSize(1);
+        assertThat(listing.revision()).isEqualTo(7);
+        assertThat(messenger.asked).containsExactly("far-0", "far-2", "far-2");
+    }
+
+    @Test
+    void should_read_the_store_directly_once_no_reader_has_answered_for_long() {
+        // given
+        ConfigRelay asking = relay("far-6");
+
+        // when
+        Either<Failure, Listing> early = asking.list(KEY).result();
+        clock.nowMs += 1_500;
+        Either<Failure, Listing> late = asking.list(KEY).result();
+
+        // then
+        assertThat(early.isLeft()).isTrue();
+        assertThat(late.get().items()).hasSize(1);
+        assertThat(store.calls).isEqualTo(1);
+    }
+
+    /** After an outage of the store, the reads of all VMs at once would hold each other up. */
+    @Test
+    void should_leave_the_store_to_readers_that_live_and_can_not_read_it() {
+        // given
+        fresh = false;
+        for (String reader : List.of("far-0", "far-2")) {
+            ConfigRelay relay = relay(reader);
+            relay.seen(store.items.get(KEY));
+            serve(reader, relay);
+        }
+        ConfigRelay asking = relay("far-6");
+
+        // when
+        for (int i = 0; i < 20; i++) {
+            assertThat(asking.list(KEY).result().isLeft()).isTrue();
+            clock.nowMs += 200;
+        }
+
+        // then
+        assertThat(store.calls).isZero();
+        fresh = true;
+        assertThat(get(asking.list(KEY)).items()).hasSize(1);
+    }
+
+    @Test
+    void should_answer_as_soon_as_there_is_a_newer_configuration() {
+        // given
+        ConfigRelay reader = relay("far-0");
+        reader.seen(store.items.get(KEY));
+
+        // when
+        Future<Either<Failure, PeerMessage>> answer = reader.serve(new QueryConfig(7, 5_000));
+
+        // then
+        assertThat(answer.isComplete()).isFalse();
+        reader.seen(new Item(KEY, new byte[] {2}, 9));
+        assertThat(answer.result().get()).isInstanceOfSatisfying(ConfigAnswer.class, given -> {
+            assertThat(given.revision()).isEqualTo(9);
+            assertThat(given.value()).containsExactly(2);
+        });
+    }
+
+    @Test
+    void should_answer_after_the_wait_when_nothing_has_changed() throws TimeoutException {
+        // given
+        ConfigRelay reader = relay("far-0");
+        reader.seen(store.items.get(KEY));
+        serve("far-0", reader);
+
+        // when
+        Listing listing =
+                relay("far-6").watch(KEY, 9, 1_500).await(5, TimeUnit.SECONDS).get();
+
+        // then
+        assertThat(listing.items()).isEmpty();
+        assertThat(listing.revision()).isEqualTo(9);
+    }
+
+    @Test
+    void should_read_a_configuration_directly_that_does_not_fit_a_message() {
+        // given
+        for (String vm : List.of("far-0", "far-2")) {
+            ConfigRelay reader = relay(vm);
+            reader.seen(new Item(KEY, new byte[1024 * 1024], 8));
+            serve(vm, reader);
+        }
+        ConfigRelay asking = relay("far-6");
+
+        // when
+        Either<Failure, Listing> early = asking.list(KEY).result();
+        clock.nowMs += 1_500;
+
+        // then
+        assertThat(early.isLeft()).isTrue();
+        assertThat(get(asking.list(KEY)).items()).hasSize(1);
+    }
+}
