--- a/library/src/main/java/io/radishspindle/pool/port/PrefixReader.java
+++ b/library/src/main/java/io/radishspindle/pool/port/PrefixReader.java
@@ -5,9 +5,7 @@
 import io.vavr.control.Either;
 import io.vertx.core.Future;
 
-/**
- * Reads the keys under a prefix. Implementations belong to one event loop. The returned futures never fail.
- */
+/** Reads the keys under a prefix. Implementations belong to one event loop. The returned futures never fail. */
 public interface PrefixReader {
     /** Reads all keys under a prefix, page by page. */
     Future<Either<Failure, Listing>> list(String prefix);
--- a/library/src/main/java/io/radishspindle/pool/runtime/SliceSizing.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/SliceSizing.java
@@ -74,7 +74,7 @@
         }
     }
 
-    /** Jobs arrive for a pool whose number of slices is unknown, so that it is decided by what is registered now. */
+    /** Decides by the workers that are registered now, since requests arrive for a pool that has no number yet. */
     void hurry() {
         decideByMs = clock.nowMs();
         if (notBeforeMs != Long.MAX_VALUE) {
