--- a/library/src/main/java/io/radishspindle/pool/runtime/SliceSizing.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/SliceSizing.java
@@ -28,7 +28,7 @@
     private static final long RANK_DELAY_MS = 1_000;
     /** The number of workers has settled when it has stayed the same for this long, in milliseconds. */
     private static final long SETTLE_MS = 800;
-    /** Longest wait for workers to register, in milliseconds; on the grown sites they take about 6 s. */
+    /** Longest wait for workers to register, in milliseconds; on hanji-bindery-grown they take 6 s. */
     private static final long MAX_WAIT_MS = 10_000;
     /** Pause before a failed call is repeated, in milliseconds. */
     private static final long RETRY_MS = 250;
