End the drain of requests after their answers have been written

Cause: RequestService counted a request as answered when its result was known; the answer was then written on the event loop of the caller's connection.

Ruled out: a fault of the platform daemon; CallerServer counts requests until the response has ended and drains for at least 2.5 s.

Change: Responder returns a future that completes when the answer is written or its recipient is gone, and RequestService counts down then.

--- a/demo-runner/src/test/java/io/radishspindle/demo/ProcessFailureTest.java
+++ b/demo-runner/src/test/java/io/radishspindle/demo/ProcessFailureTest.java
@@ -78,8 +78,6 @@
         running.awaitAllDoneWithoutViolation(14);
     }
 
-    /** Listed in KNOWN-RED.txt: the drain may end before the last answers are written. */
-    @Tag("known-red")
     @Test
     void should_cut_off_no_request_when_an_entry_vm_is_terminated() throws Exception {
         // given requests in flight at one entry VM
--- a/library/src/main/java/io/radishspindle/routing/CallerResponder.java
+++ b/library/src/main/java/io/radishspindle/routing/CallerResponder.java
@@ -6,6 +6,7 @@
 import io.radishspindle.platform.ExecutorClient.ServiceResponse;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpMethod;
@@ -13,6 +14,7 @@
 import io.vertx.core.http.HttpServerResponse;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Supplier;
 
 /**
  * Writes the final answer to a caller, on the event loop of its connection. Thread-safe.
@@ -37,14 +39,14 @@
     }
 
     @Override
-    public void answer(ServiceResponse response) {
+    public Future<Void> answer(ServiceResponse response) {
         List<Map.Entry<String, String>> headers = HopHeaders.ofResponse(response.headers());
-        context.runOnContext(v -> write(response, headers));
+        return onContext(() -> write(response, headers));
     }
 
     @Override
-    public void fail(Failure failure) {
-        context.runOnContext(v -> writeFailure(failure));
+    public Future<Void> fail(Failure failure) {
+        return onContext(() -> writeFailure(failure));
     }
 
     @Override
@@ -52,10 +54,19 @@
         return request.response().closed();
     }
 
-    private void write(ServiceResponse answer, List<Map.Entry<String, String>> headers) {
+    private Future<Void> onContext(Supplier<Future<Void>> write) {
+        Promise<Void> done = Promise.promise();
+        // compose turns an exception into a failure, so that a drain never waits for an answer that can't be written.
+        context.runOnContext(v -> Future.<Void>succeededFuture()
+                .compose(ignored -> write.get())
+                .onComplete(written -> done.tryComplete()));
+        return done.future();
+    }
+
+    private Future<Void> write(ServiceResponse answer, List<Map.Entry<String, String>> headers) {
         HttpServerResponse response = request.response();
         if (response.closed() || response.ended()) {
-            return;
+            return Future.succeededFuture();
         }
         response.setStatusCode(answer.status());
         headers.forEach(header -> response.headers().add(header.getKey(), header.getValue()));
@@ -64,10 +75,10 @@
         if (head && length != null) {
             response.putHeader(HttpHeaders.CONTENT_LENGTH, length);
         }
-        limitTime(head ? response.end() : response.end(answer.body()));
+        return limitTime(head ? response.end() : response.end(answer.body()));
     }
 
-    private void writeFailure(Failure failure) {
+    private Future<Void> writeFailure(Failure failure) {
         HttpServerResponse response = request.response();
         boolean unread = BodyReader.leavesBodyUnread(failure);
         boolean leave = unread || failure.code() == ErrorCode.SHUTTING_DOWN;
@@ -81,13 +92,14 @@
         if (unread) {
             written.onComplete(done -> request.connection().close());
         }
+        return written;
     }
 
-    private void limitTime(Future<Void> written) {
+    private Future<Void> limitTime(Future<Void> written) {
         if (written.isComplete()) {
-            return;
+            return written;
         }
         long timer = vertx.setTimer(WRITE_TIMEOUT_MS, id -> request.connection().close());
-        written.onComplete(done -> vertx.cancelTimer(timer));
+        return written.onComplete(done -> vertx.cancelTimer(timer));
     }
 }
--- a/library/src/main/java/io/radishspindle/routing/KeyedResponder.java
+++ b/library/src/main/java/io/radishspindle/routing/KeyedResponder.java
@@ -7,6 +7,7 @@
 import io.radishspindle.idempotency.KeyedRequests.Claim;
 import io.radishspindle.idempotency.KeyedRequests.StoredAnswer;
 import io.radishspindle.platform.ExecutorClient.ServiceResponse;
+import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import java.util.Optional;
 
@@ -31,20 +32,20 @@
     }
 
     @Override
-    public void answer(ServiceResponse response) {
-        target.answer(response);
+    public Future<Void> answer(ServiceResponse response) {
+        Future<Void> written = target.answer(response);
         keyed.complete(
                 claim, new StoredAnswer(response.status(), HopHeaders.ofResponse(response.headers()), response.body()));
+        return written;
     }
 
     /** A caller that is told "not run" may repeat at once, so the intent is removed before it is told. */
     @Override
-    public void fail(Failure failure) {
+    public Future<Void> fail(Failure failure) {
         if (failure.notRun()) {
-            keyed.release(claim).onComplete(done -> target.fail(failure));
-        } else {
-            target.fail(failure);
+            return keyed.release(claim).transform(done -> target.fail(failure));
         }
+        return target.fail(failure);
     }
 
     /** Answers a request whose key is already recorded. */
--- a/library/src/main/java/io/radishspindle/routing/PeerResponder.java
+++ b/library/src/main/java/io/radishspindle/routing/PeerResponder.java
@@ -18,18 +18,20 @@
     }
 
     @Override
-    public void answer(ServiceResponse response) {
+    public Future<Void> answer(ServiceResponse response) {
         if (response.body().length() > RoutingLimits.MAX_FORWARD_BODY_BYTES) {
             String message = "an answer of " + response.body().length() + " bytes can't be passed between entry VMs";
             promise.tryComplete(
                     Either.left(new Failure(ErrorCode.OUTCOME_UNKNOWN, "routing.forwarded", "", message, false, 0)));
-            return;
+            return Future.succeededFuture();
         }
         promise.tryComplete(Either.right(ForwardMessages.response(response)));
+        return Future.succeededFuture();
     }
 
     @Override
-    public void fail(Failure failure) {
+    public Future<Void> fail(Failure failure) {
         promise.tryComplete(Either.left(failure));
+        return Future.succeededFuture();
     }
 }
--- a/library/src/main/java/io/radishspindle/routing/RequestService.java
+++ b/library/src/main/java/io/radishspindle/routing/RequestService.java
@@ -105,7 +105,7 @@
         return runtime.leavingEndpoints();
     }
 
-    /** Refuses new requests; completes when all requests in flight have been answered. */
+    /** Refuses new requests; completes when the answers to all requests in flight have been written. */
     public Future<Void> drain() {
         draining = true;
         Logger.info("event=routing-drain-started in_flight={}", inFlight.get());
@@ -242,7 +242,7 @@
         }
     }
 
-    /** Counts a request as in flight until it is answered. */
+    /** Counts a request as in flight until its answer is written, so that a drain cuts off no answer. */
     private final class Tracked implements Responder {
         private final Responder target;
 
@@ -252,15 +252,13 @@
         }
 
         @Override
-        public void answer(ExecutorClient.ServiceResponse response) {
-            target.answer(response);
-            done();
+        public Future<Void> answer(ExecutorClient.ServiceResponse response) {
+            return target.answer(response).onComplete(written -> done());
         }
 
         @Override
-        public void fail(Failure failure) {
-            target.fail(failure);
-            done();
+        public Future<Void> fail(Failure failure) {
+            return target.fail(failure).onComplete(written -> done());
         }
 
         @Override
--- a/library/src/test/java/io/radishspindle/routing/RequestServiceTest.java
+++ b/library/src/test/java/io/radishspindle/routing/RequestServiceTest.java
@@ -3,8 +3,14 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.radishspindle.routing.RoutingFixture.Answer;
+import io.vertx.core.Future;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
 /** The request path over loopback sockets. */
@@ -43,6 +49,44 @@
         }
     }
 
+    /** A process that ended its drain when the result was known closed the connection before the answer was written. */
+    @Test
+    void should_end_drain_only_after_answers_are_written() {
+        List<HttpServerRequest> held = new CopyOnWriteArrayList<>();
+        try (RoutingFixture fixture =
+                new RoutingFixture().executor(8, held::add).start()) {
+            // given a request in flight and a busy event loop of the callers' connections
+            Future<Answer> answer = fixture.send(HttpMethod.POST, "/services/layout/x", Map.of(), "");
+            RoutingFixture.until(() -> held.size() == 1);
+            CountDownLatch blocked = new CountDownLatch(1);
+            CountDownLatch release = new CountDownLatch(1);
+            fixture.callersContext.runOnContext(v -> {
+                blocked.countDown();
+                await(release);
+            });
+            await(blocked);
+            Future<Void> drained = fixture.service().drain();
+            // when the result is known
+            held.get(0).response().end("done");
+            RoutingFixture.until(() -> fixture.service().loads().get(0).freeSlots() == 8);
+            // then
+            assertThat(drained.isComplete()).isFalse();
+            release.countDown();
+            RoutingFixture.await(drained);
+            assertThat(RoutingFixture.await(answer).body()).hasToString("done");
+        }
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            assertThat(latch.await(RoutingFixture.WAIT_MS, TimeUnit.MILLISECONDS))
+                    .isTrue();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new AssertionError(e);
+        }
+    }
+
     @Test
     void should_refuse_not_run_when_nothing_listens() {
         try (RoutingFixture fixture = new RoutingFixture().endpoint(8, 1)) {
--- a/library/src/test/java/io/radishspindle/routing/RoutingFixture.java
+++ b/library/src/test/java/io/radishspindle/routing/RoutingFixture.java
@@ -11,9 +11,11 @@
 import io.radishspindle.platform.http.HttpExecutorClient;
 import io.radishspindle.settings.EntrySettings;
 import io.vavr.control.Either;
+import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Handler;
 import io.vertx.core.MultiMap;
+import io.vertx.core.VerticleBase;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -29,6 +31,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import org.jspecify.annotations.Nullable;
 
 /** One entry VM with executors and callers on loopback sockets. */
 final class RoutingFixture implements AutoCloseable {
@@ -54,7 +57,10 @@
     boolean waitForSlots = true;
     String dataCentre = "dc1";
     private final List<EntryVm> others = new ArrayList<>();
-    int port;
+    volatile int port;
+    /** Event loop of the callers' connections; null before the start. */
+    @Nullable
+    volatile Context callersContext;
 
     /** Refuses keyed requests, as a VM without a store does. */
     static KeyedRequests noStore() {
@@ -121,9 +127,7 @@
         service.update(Routings.view(self, vms, endpoints));
         Router router = Router.router(vertx);
         router.route("/services/:service/*").handler(service.handler());
-        HttpServer server =
-                await(vertx.createHttpServer().requestHandler(router).listen(0, "127.0.0.1"));
-        port = server.actualPort();
+        await(vertx.deployVerticle(new CallersVerticle(router)));
         until(() -> service.loads().stream().anyMatch(load -> load.freeSlots() > 0) || !waitForSlots);
         return this;
     }
@@ -138,6 +142,24 @@
         return peer;
     }
 
+    /** The callers' listener, on an event loop of its own as in a daemon with several. */
+    private final class CallersVerticle extends VerticleBase {
+        private final Router router;
+
+        CallersVerticle(Router router) {
+            this.router = router;
+        }
+
+        @Override
+        public Future<?> start() {
+            callersContext = context;
+            return vertx.createHttpServer()
+                    .requestHandler(router)
+                    .listen(0, "127.0.0.1")
+                    .onSuccess(server -> port = server.actualPort());
+        }
+    }
+
     private RequestService serviceOf(String id, EntrySettings.Routing routing, KeyedRequests keyed) {
         RequestService created = new RequestService(
                 vertx,
--- a/library/src/test/java/io/radishspindle/routing/RoutingSimulation.java
+++ b/library/src/test/java/io/radishspindle/routing/RoutingSimulation.java
@@ -10,6 +10,7 @@
 import io.radishspindle.membership.MembershipView.Liveness;
 import io.radishspindle.platform.ExecutorClient.ServiceResponse;
 import io.radishspindle.routing.RoutingEvent.RequestArrived;
+import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import java.util.ArrayList;
@@ -253,13 +254,15 @@
     static Responder responder(Consumer<ServiceResponse> answer, Consumer<Failure> fail) {
         return new Responder() {
             @Override
-            public void answer(ServiceResponse response) {
+            public Future<Void> answer(ServiceResponse response) {
                 answer.accept(response);
+                return Future.succeededFuture();
             }
 
             @Override
-            public void fail(Failure failure) {
+            public Future<Void> fail(Failure failure) {
                 fail.accept(failure);
+                return Future.succeededFuture();
             }
         };
     }
--- a/library/src/test/java/io/radishspindle/routing/SimVm.java
+++ b/library/src/test/java/io/radishspindle/routing/SimVm.java
@@ -7,6 +7,7 @@
 import io.radishspindle.idempotency.KeyedRequests.KeyedRequest;
 import io.radishspindle.platform.ExecutorClient.ServiceResponse;
 import io.radishspindle.routing.RoutingEvent.RequestArrived;
+import io.vertx.core.Future;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -181,15 +182,13 @@
         inFlight++;
         return new Responder() {
             @Override
-            public void answer(ServiceResponse response) {
-                target.answer(response);
-                done();
+            public Future<Void> answer(ServiceResponse response) {
+                return target.answer(response).onComplete(written -> done());
             }
 
             @Override
-            public void fail(Failure failure) {
-                target.fail(failure);
-                done();
+            public Future<Void> fail(Failure failure) {
+                return target.fail(failure).onComplete(written -> done());
             }
 
             private void done() {
