Find out within 150 ms that the store is back

The direct path was tried only by the renewal of the lease, which hangs for up to 1.2 s; and calls of the outage that failed after the return took the path down again. Calls relayed to a killed VM hung for 1.3 s each.

Ruled out: the pauses of the callers; their last attempt comes within 0.1 s of the end of their 3 s.

Change: while the direct path is down, a small read probes it every 150 ms over connections of its own. A failure counts only if no call that was sent later has succeeded. A peer that has not answered is passed over for 2 s.

Test: StoreReturnTest (pattern: an outage of the store under steady submissions).

--- a/library/src/main/java/io/radishspindle/pool/port/SharedStore.java
+++ b/library/src/main/java/io/radishspindle/pool/port/SharedStore.java
@@ -41,6 +41,9 @@
     /** Outcome of a transaction: either its revision, or the conditions' keys in their present state. */
     record TxnResult(boolean applied, long revision, List<Item> current) {}
 
+    /** Makes a small read to find out whether the store answers within {@code timeoutMs} milliseconds. */
+    Future<Either<Failure, Boolean>> probe(long timeoutMs);
+
     /** Reads a key; empty if it does not exist. */
     Future<Either<Failure, Optional<Item>>> get(String key);
 
--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolNode.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolNode.java
@@ -123,6 +123,7 @@
     }
 
     private void tick() {
+        store.tick();
         PoolConfig current = config;
         if (current != null && controlWatch.isListed() && !draining) {
             sizing.tick(current.pools());
--- a/library/src/main/java/io/radishspindle/pool/runtime/RelayedStore.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/RelayedStore.java
@@ -11,6 +11,7 @@
 import io.vavr.control.Either;
 import io.vertx.core.Future;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -38,6 +39,12 @@
     private static final long MIN_RETRY_AFTER_MS = 1_000;
 
     private static final long MAX_RETRY_AFTER_MS = 3_000;
+    /** Pause between probes of the direct path while it is down, in milliseconds; callers are refused until it is back. */
+    private static final long PROBE_PAUSE_MS = 150;
+    /** Limit of a probe, in milliseconds; a slow store takes up to 400 ms. */
+    private static final long PROBE_TIMEOUT_MS = 500;
+    /** A peer that has not answered is not asked for this long, in milliseconds; a restart takes 1 to 2 s. */
+    private static final long PASS_OVER_MS = 2_000;
     /** Peers that are asked for one call. */
     private static final int MAX_PEERS = 2;
 
@@ -48,12 +55,15 @@
     /** Start times of direct calls that wait for an answer, in the order in which they were made. */
     private final Map<Long, Long> outstanding = new LinkedHashMap<>();
 
+    private final Map<String, Long> passedOverUntilMs = new HashMap<>();
+
     private long calls;
     private long lastSuccessMs = Long.MIN_VALUE + 1;
     private long lastFailureMs = Long.MIN_VALUE;
     private int rotation;
     private boolean relaying;
     private long downSinceMs;
+    private long lastProbeMs;
 
     /** @param peers ids of the other VMs */
     RelayedStore(Clock clock, SharedStore direct, PeerMessenger messenger, Supplier<List<String>> peers) {
@@ -76,6 +86,20 @@
         return lastSuccessMs < sinceMs && clock.nowMs() - sinceMs > SILENT_MS;
     }
 
+    /** Called several times a second; finds out soon when the direct path is back. */
+    void tick() {
+        long nowMs = clock.nowMs();
+        if (isDirectPathDown() && nowMs - lastProbeMs >= PROBE_PAUSE_MS) {
+            lastProbeMs = nowMs;
+            direct.probe(PROBE_TIMEOUT_MS).onSuccess(result -> observe(result, nowMs));
+        }
+    }
+
+    @Override
+    public Future<Either<Failure, Boolean>> probe(long timeoutMs) {
+        return direct.probe(timeoutMs);
+    }
+
     /**
      * When a caller that is refused now should come back, in milliseconds: an outage that has lasted for some time is
      * expected to last as long again.
@@ -107,7 +131,8 @@
             RelayStore relay = new RelayStore("watch", prefix, afterRevision, Map.of(), List.of(), List.of());
             return relay(relay, 0, unreachable("watch")).map(reply -> reply.map(RelayedStore::listing));
         }
-        return direct.watch(prefix, afterRevision, waitMs).onSuccess(this::observe);
+        long sentAtMs = clock.nowMs();
+        return direct.watch(prefix, afterRevision, waitMs).onSuccess(result -> observe(result, sentAtMs));
     }
 
     private static Failure unreachable(String operation) {
@@ -135,10 +160,11 @@
 
     @Override
     public Future<Either<Failure, Long>> createLease(long ttlMs) {
-        return direct.createLease(ttlMs).onSuccess(this::observe);
+        long sentAtMs = clock.nowMs();
+        return direct.createLease(ttlMs).onSuccess(result -> observe(result, sentAtMs));
     }
 
-    /** Also probes the direct path, as it is called several times a second. */
+    /** Tries the direct path first, so that it also finds out when that is back. */
     @Override
     public Future<Either<Failure, Long>> renewLease(long lease) {
         RelayStore relay = new RelayStore("renew", "", lease, Map.of(), List.of(), List.of());
@@ -157,10 +183,11 @@
 
     private <T> Future<Either<Failure, T>> direct(Supplier<Future<Either<Failure, T>>> directCall) {
         long call = ++calls;
-        outstanding.put(call, clock.nowMs());
+        long sentAtMs = clock.nowMs();
+        outstanding.put(call, sentAtMs);
         return directCall.get().onSuccess(result -> {
             outstanding.remove(call);
-            observe(result);
+            observe(result, sentAtMs);
         });
     }
 
@@ -189,27 +216,51 @@
         if (candidates.isEmpty() || tries >= MAX_PEERS) {
             return Future.succeededFuture(Either.left(cause));
         }
-        String peer = candidates.get(Math.floorMod(rotation++, candidates.size()));
+        String peer = nextPeer(candidates);
         return messenger
                 .request(peer, message, StoreRelayed.class, RELAY_TIMEOUT_MS)
+                .onSuccess(reply -> noteAnswer(peer, reply))
                 .compose(reply -> reply.isLeft() && reply.getLeft().notRun() && isOutage(reply.getLeft())
                         ? relay(message, tries + 1, cause)
                         : Future.succeededFuture(reply));
     }
 
+    /** The next peer in turn that has answered lately, or else the next one. */
+    private String nextPeer(List<String> candidates) {
+        for (int i = 0; i < candidates.size(); i++) {
+            String peer = candidates.get(Math.floorMod(rotation++, candidates.size()));
+            if (passedOverUntilMs.getOrDefault(peer, Long.MIN_VALUE) <= clock.nowMs()) {
+                return peer;
+            }
+        }
+        return candidates.get(Math.floorMod(rotation++, candidates.size()));
+    }
+
+    private void noteAnswer(String peer, Either<Failure, StoreRelayed> reply) {
+        boolean silent = reply.isLeft()
+                && (reply.getLeft().code() == ErrorCode.PEER_UNREACHABLE
+                        || reply.getLeft().code() == ErrorCode.OUTCOME_UNKNOWN);
+        if (silent) {
+            passedOverUntilMs.put(peer, clock.nowMs() + PASS_OVER_MS);
+        } else {
+            passedOverUntilMs.remove(peer);
+        }
+    }
+
     private static boolean isOutage(Failure failure) {
         return failure.code() == ErrorCode.STORE_UNAVAILABLE
                 || failure.code() == ErrorCode.PEER_UNREACHABLE
                 || failure.code() == ErrorCode.OVERLOADED;
     }
 
-    private void observe(Either<Failure, ?> result) {
+    /** A failure says nothing of the present if a call that was sent later has succeeded since. */
+    private void observe(Either<Failure, ?> result, long sentAtMs) {
         boolean failed = result.isLeft()
                 && (result.getLeft().code() == ErrorCode.STORE_UNAVAILABLE
                         || result.getLeft().code() == ErrorCode.OUTCOME_UNKNOWN);
-        if (failed) {
+        if (failed && sentAtMs >= lastSuccessMs) {
             lastFailureMs = clock.nowMs();
-        } else {
+        } else if (!failed) {
             lastSuccessMs = clock.nowMs();
         }
         if (relaying != isDirectPathDown()) {
--- a/library/src/test/java/io/radishspindle/pool/runtime/FakeSharedStore.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/FakeSharedStore.java
@@ -5,6 +5,7 @@
 import io.radishspindle.pool.port.SharedStore;
 import io.vavr.control.Either;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -24,7 +25,9 @@
         /** The call is executed and its answer is lost. */
         LOSE_ANSWER,
         /** The call is lost, which looks the same to its caller. */
-        LOSE_CALL
+        LOSE_CALL,
+        /** The call is lost, and its caller finds out when {@link #hanging} is run. */
+        HANG
     }
 
     final Map<String, Item> items = new TreeMap<>();
@@ -36,12 +39,22 @@
     /** Calls that were lost; running them carries them out late. */
     final List<Runnable> lostCalls = new ArrayList<>();
 
+    /** Calls without an answer so far; running them lets them fail. */
+    final List<Runnable> hanging = new ArrayList<>();
+
     private long revision = 10;
 
     private <T> Future<Either<Failure, T>> guarded(Supplier<Either<Failure, T>> action) {
         calls++;
+        Fault next = firstFaults.isEmpty() ? fault : firstFaults.remove();
+        if (next == Fault.HANG) {
+            Promise<Either<Failure, T>> answer = Promise.promise();
+            hanging.add(() -> answer.complete(Either.left(Failure.unknown("store", "store", "no answer"))));
+            return answer.future();
+        }
         return Future.succeededFuture(
-                switch (firstFaults.isEmpty() ? fault : firstFaults.remove()) {
+                switch (next) {
+                    case HANG -> throw new IllegalStateException("answered above");
                     case NONE -> action.get();
                     case REFUSE ->
                         Either.<Failure, T>left(
@@ -57,6 +70,11 @@
                 });
     }
 
+    @Override
+    public Future<Either<Failure, Boolean>> probe(long timeoutMs) {
+        return guarded(() -> Either.right(true));
+    }
+
     @Override
     public Future<Either<Failure, Optional<Item>>> get(String key) {
         return guarded(() -> Either.right(Optional.ofNullable(items.get(key))));
--- /dev/null
+++ b/library/src/test/java/io/radishspindle/pool/runtime/StoreReturnTest.java
@@ -0,0 +1,136 @@
+package io.radishspindle.pool.runtime;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.radishspindle.error.ErrorCode;
+import io.radishspindle.error.Failure;
+import io.radishspindle.pool.port.SharedStore.Txn;
+import io.radishspindle.pool.port.SharedStore.Write;
+import io.radishspindle.pool.runtime.FakeSharedStore.Fault;
+import io.radishspindle.protocol.message.PoolMessages.RelayStore;
+import io.vavr.control.Either;
+import io.vertx.core.Future;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/**
+ * Pattern: the store is unavailable for some seconds while callers keep submitting. Guards against refusals after its
+ * return: callers give up within 3 s of their first attempt.
+ */
+class StoreReturnTest {
+    private static final long SILENCE_MS = 700;
+    private static final long PROBE_PAUSE_MS = 150;
+
+    private final ManualClock clock = new ManualClock();
+    private final FakeSharedStore direct = new FakeSharedStore();
+    private final FakeMessenger messenger = new FakeMessenger();
+    private final RelayedStore store = new RelayedStore(clock, direct, messenger, () -> List.of("b", "c"));
+
+    @BeforeEach
+    void connectPeersWithoutStore() {
+        FakeSharedStore silent = new FakeSharedStore();
+        silent.fault = Fault.REFUSE;
+        RelayedStore peer = new RelayedStore(clock, silent, messenger, List::of);
+        messenger.peers.put("b", message -> peer.serve((RelayStore) message));
+        messenger.peers.put("c", message -> peer.serve((RelayStore) message));
+    }
+
+    private void write() {
+        store.transact(new Txn(Map.of("k", 0L), List.of(new Write("k", new byte[] {1}, 0)), List.of()));
+    }
+
+    private void loseStore(Fault fault) {
+        direct.fault = fault;
+        write();
+        clock.nowMs += SILENCE_MS;
+        assertThat(store.isDirectPathDown()).isTrue();
+    }
+
+    @ParameterizedTest
+    @EnumSource(names = {"REFUSE", "LOSE_CALL", "HANG"})
+    void should_use_the_direct_path_soon_after_the_return(Fault fault) {
+        // given
+        loseStore(fault);
+        store.tick();
+        assertThat(store.isDirectPathDown()).isTrue();
+
+        // when
+        direct.fault = Fault.NONE;
+        clock.nowMs += PROBE_PAUSE_MS;
+        store.tick();
+
+        // then
+        assertThat(store.isDirectPathDown()).isFalse();
+    }
+
+    @Test
+    void should_bound_the_probes_of_an_outage() {
+        // given
+        loseStore(Fault.REFUSE);
+        int before = direct.calls;
+
+        // when
+        for (int ms = 0; ms < 1_500; ms += 50) {
+            clock.nowMs += 50;
+            store.tick();
+        }
+
+        // then
+        assertThat(direct.calls - before).isEqualTo(10);
+    }
+
+    @Test
+    void should_not_probe_while_the_store_answers() {
+        // given
+        write();
+        int before = direct.calls;
+
+        // when
+        clock.nowMs += PROBE_PAUSE_MS;
+        store.tick();
+
+        // then
+        assertThat(direct.calls).isEqualTo(before);
+    }
+
+    /** The calls of an outage fail up to 2 s after the return of the store. */
+    @Test
+    void should_ignore_the_failure_of_a_call_that_was_sent_before_the_return() {
+        // given
+        loseStore(Fault.HANG);
+        direct.fault = Fault.NONE;
+        clock.nowMs += PROBE_PAUSE_MS;
+        store.tick();
+
+        // when
+        clock.nowMs += PROBE_PAUSE_MS;
+        direct.hanging.forEach(Runnable::run);
+
+        // then
+        assertThat(store.isDirectPathDown()).isFalse();
+    }
+
+    /** A killed VM stays among the peers until its lease ends; each call through it takes 1.3 s. */
+    @Test
+    void should_pass_over_a_peer_that_did_not_answer() {
+        // given
+        messenger.peers.put(
+                "b", message -> Future.succeededFuture(
+                        Either.left(Failure.unknown("peer.request", "b", "no answer"))));
+        loseStore(Fault.REFUSE);
+        messenger.asked.clear();
+
+        // when
+        write();
+        write();
+        write();
+
+        // then
+        assertThat(messenger.asked).filteredOn("b"::equals).hasSizeLessThanOrEqualTo(1);
+        assertThat(store.get("k").await().getLeft().code()).isEqualTo(ErrorCode.STORE_UNAVAILABLE);
+    }
+}
