--- a/library/src/main/java/io/radishspindle/pool/runtime/AdviceDispatcher.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/AdviceDispatcher.java
@@ -199,7 +199,7 @@
 
     /** Sorted, so that all VMs share them out alike. */
     private List<String> vms() {
-        Set<String> live = view.live().keySet();
+        Set<String> live = view.active().keySet();
         List<String> all = new ArrayList<>(live);
         if (!live.contains(self.vmId())) {
             all.add(self.vmId());
--- a/library/src/main/java/io/radishspindle/pool/runtime/ConfigRelay.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/ConfigRelay.java
@@ -151,7 +151,7 @@
         if (self.region().equals(view.homeRegion())) {
             return List.of();
         }
-        List<Map.Entry<String, Member>> region = view.live().entrySet().stream()
+        List<Map.Entry<String, Member>> region = view.active().entrySet().stream()
                 .filter(vm -> vm.getValue().region().equals(self.region()))
                 .sorted(STRONGEST_FIRST)
                 .toList();
--- a/library/src/main/java/io/radishspindle/pool/runtime/ControlView.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/ControlView.java
@@ -27,6 +27,7 @@
 
     private final Clock clock;
     private final Map<String, Member> live = new HashMap<>();
+    private final Map<String, Member> active = new HashMap<>();
     private final Map<String, Member> known = new HashMap<>();
     private final Map<String, Ownership> owners = new HashMap<>();
     private final Map<String, Long> ownerlessSinceMs = new HashMap<>();
@@ -43,6 +44,7 @@
         Set<String> keys = new HashSet<>();
         items.forEach(item -> keys.add(item.key()));
         live.keySet().removeIf(vm -> !keys.contains(StoreKeys.member(vm)));
+        active.keySet().retainAll(live.keySet());
         List.copyOf(owners.keySet()).stream()
                 .filter(pool -> !keys.contains(StoreKeys.owner(pool)))
                 .forEach(this::ownerGone);
@@ -57,10 +59,16 @@
             String vm = StoreKeys.memberId(item.key());
             if (value == null) {
                 live.remove(vm);
+                active.remove(vm);
             } else {
                 Records.decode(item.key(), value, Member.class).onSuccess(member -> {
                     live.put(vm, member);
                     known.put(vm, member);
+                    if (member.draining()) {
+                        active.remove(vm);
+                    } else {
+                        active.put(vm, member);
+                    }
                 });
             }
         } else if (StoreKeys.isOwner(item.key())) {
@@ -94,9 +102,9 @@
         return Optional.ofNullable(sliceCounts.get(pool));
     }
 
-    /** VMs whose entries are present. */
-    Map<String, Member> live() {
-        return live;
+    /** VMs whose entries are present and that are not about to stop. */
+    Map<String, Member> active() {
+        return active;
     }
 
     /** Region with the most VMs, where the store is; the first by name if several have as many. */
--- a/library/src/main/java/io/radishspindle/pool/runtime/NodeLease.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/NodeLease.java
@@ -11,6 +11,7 @@
 import io.vertx.core.Vertx;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.tinylog.Logger;
 
 /**
@@ -28,6 +29,7 @@
     private final NodeIdentity self;
     private long lease;
     private boolean closed;
+    private boolean draining;
 
     NodeLease(Vertx vertx, SharedStore store, NodeIdentity self) {
         this.vertx = vertx;
@@ -65,10 +67,23 @@
     }
 
     private void register() {
+        store.transact(new Txn(Map.of(), List.of(entry()), List.of())).onSuccess(this::onRegistered);
+    }
+
+    private Write entry() {
         Records.Member member = new Records.Member(
-                self.host(), self.peerPort(), self.dataCentre(), self.region(), self.boot(), self.strength());
-        Write write = new Write(StoreKeys.member(self.vmId()), Records.encode(member), lease);
-        store.transact(new Txn(Map.of(), List.of(write), List.of())).onSuccess(this::onRegistered);
+                self.host(), self.peerPort(), self.dataCentre(), self.region(), self.boot(), self.strength(), draining);
+        return new Write(StoreKeys.member(self.vmId()), Records.encode(member), lease);
+    }
+
+    /**
+     * Announces that this VM is about to stop, so that others neither wait for it to claim a pool nor ask it.
+     *
+     * @return the entry to be written, if the VM is registered; a later registration announces it as well
+     */
+    Optional<Write> drain() {
+        draining = true;
+        return lease == 0 ? Optional.empty() : Optional.of(entry());
     }
 
     private void onRegistered(Either<Failure, TxnResult> result) {
--- a/library/src/main/java/io/radishspindle/pool/runtime/OwnerElection.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/OwnerElection.java
@@ -36,6 +36,8 @@
     private static final long PING_MS = 250;
 
     private static final long PING_TIMEOUT_MS = 500;
+    /** An owner that denies for this long that it owns the pool is replaced; a claim is known to its VM sooner. */
+    private static final long DENIED_MS = 200;
     /** An owner that answers no ping for this long is replaced; shorter pauses occur on a busy VM. */
     private static final long SILENT_OWNER_MS = 900;
 
@@ -141,7 +143,7 @@
             return;
         }
         long sinceMs = silentSinceMs.computeIfAbsent(pool, ignored -> sentMs);
-        if (clock.nowMs() - sinceMs < SILENT_OWNER_MS) {
+        if (clock.nowMs() - sinceMs < (reply.isRight() ? DENIED_MS : SILENT_OWNER_MS)) {
             return;
         }
         silentSinceMs.remove(pool);
@@ -172,7 +174,7 @@
      * equals.
      */
     private List<String> rank(String pool, String excluded, Set<String> ownPools) {
-        Map<String, Member> live = view.live();
+        Map<String, Member> live = view.active();
         Map<String, Integer> vmsByRegion = new HashMap<>();
         live.values().forEach(member -> vmsByRegion.merge(member.region(), 1, Integer::sum));
         Set<String> owning = new HashSet<>();
--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolNode.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolNode.java
@@ -11,6 +11,8 @@
 import io.radishspindle.pool.port.AdviceService;
 import io.radishspindle.pool.port.SharedStore;
 import io.radishspindle.pool.port.SharedStore.Item;
+import io.radishspindle.pool.port.SharedStore.Txn;
+import io.radishspindle.pool.port.SharedStore.Write;
 import io.radishspindle.pool.port.WorkerControl;
 import io.radishspindle.protocol.PeerMessage;
 import io.radishspindle.protocol.TcpPeerMessenger;
@@ -30,6 +32,7 @@
 import io.vavr.control.Either;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -132,7 +135,7 @@
     }
 
     private List<String> otherVms() {
-        return view.live().keySet().stream()
+        return view.active().keySet().stream()
                 .filter(vm -> !vm.equals(self.vmId()))
                 .sorted()
                 .toList();
@@ -165,14 +168,27 @@
     public Future<Void> drain() {
         draining = true;
         election.close();
-        List<Future<Void>> releases =
-                owned.values().stream().map(PoolOwner::release).toList();
+        Optional<Write> entry = lease.drain();
+        List<Future<?>> releases = new ArrayList<>();
+        owned.forEach((pool, owner) -> {
+            // A stand-by that asks learns at once that the pool is free, also while the store can't be written.
+            election.released(pool);
+            releases.add(owner.release(entry));
+        });
+        if (owned.isEmpty() && entry.isPresent()) {
+            releases.add(store.transact(new Txn(Map.of(), List.of(entry.get()), List.of())));
+        }
         owned.clear();
         watchWorkers();
-        Logger.info("event=draining vm={} pools_released={}", self.vmId(), releases.size());
+        Logger.info("event=draining vm={} calls={}", self.vmId(), releases.size());
         return Future.join(releases).mapEmpty();
     }
 
+    /** Ends the lease, so that the other VMs forget this one at once. */
+    public Future<Void> leave() {
+        return lease.close();
+    }
+
     /** Stores a job; see {@link JobIntake#submit}. */
     public Future<Either<Failure, PoolJob>> submit(PoolJob job, long deadlineMs) {
         return slices.assign(job)
@@ -225,6 +241,12 @@
 
     private void claimed(String pool, long token) {
         PoolOwner owner = new PoolOwner(vertx, clock, store, control, advice, metrics, pool, token, this::deposed);
+        if (draining) {
+            // The claim was under way when the drain began.
+            election.released(pool);
+            owner.release(Optional.empty());
+            return;
+        }
         PoolOwner previous = owned.put(pool, owner);
         if (previous != null) {
             previous.close();
--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
@@ -15,6 +15,7 @@
 import io.radishspindle.pool.port.SharedStore.Item;
 import io.radishspindle.pool.port.SharedStore.Listing;
 import io.radishspindle.pool.port.SharedStore.Txn;
+import io.radishspindle.pool.port.SharedStore.Write;
 import io.radishspindle.pool.port.WorkerControl;
 import io.vavr.control.Either;
 import io.vertx.core.Future;
@@ -118,11 +119,22 @@
         vertx.cancelTimer(tickTimer);
     }
 
-    /** Stops deciding and removes the claim, so that another VM can claim the pool at once. */
-    Future<Void> release() {
+    /**
+     * Stops deciding and removes the claim, so that another VM can claim the pool at once.
+     *
+     * @param entry this VM's entry as a draining VM, which is written together with the removal; empty if there is none
+     */
+    Future<Void> release(Optional<Write> entry) {
         close();
-        Txn removal = new Txn(Map.of(StoreKeys.owner(pool), token), List.of(), List.of(StoreKeys.owner(pool)));
-        return store.transact(removal).mapEmpty();
+        String key = StoreKeys.owner(pool);
+        Txn removal = new Txn(Map.of(key, token), entry.stream().toList(), List.of(key));
+        return store.transact(removal)
+                .onSuccess(result -> Logger.info(
+                        "event=pool-released pool={} token={} outcome=\"{}\"",
+                        pool,
+                        token,
+                        result.fold(Failure::message, txn -> txn.applied() ? "removed" : "replaced before")))
+                .mapEmpty();
     }
 
     private void load() {
--- a/library/src/main/java/io/radishspindle/pool/runtime/Records.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/Records.java
@@ -20,8 +20,10 @@
      * A VM as others reach it.
      *
      * @param strength processors in cores, less where the link is narrow; owners should be strong
+     * @param draining the VM is about to stop; it takes over nothing and is asked for nothing
      */
-    record Member(String host, int port, String dataCentre, String region, String boot, double strength) {}
+    record Member(
+            String host, int port, String dataCentre, String region, String boot, double strength, boolean draining) {}
 
     /** The VM that owns a pool, with the boot that claimed it. */
     record Owner(String vmId, String boot) {}
--- a/library/src/main/java/io/radishspindle/pool/runtime/SliceSizing.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/SliceSizing.java
@@ -64,7 +64,8 @@
             return;
         }
         if (notBeforeMs == Long.MAX_VALUE) {
-            int rank = new TreeSet<>(view.live().keySet()).headSet(self.vmId()).size();
+            int rank =
+                    new TreeSet<>(view.active().keySet()).headSet(self.vmId()).size();
             notBeforeMs = clock.nowMs() + FIRST_MS + rank * RANK_DELAY_MS;
             decideByMs = notBeforeMs + MAX_WAIT_MS;
         }
--- a/library/src/test/java/io/radishspindle/pool/runtime/AdviceDispatcherTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/AdviceDispatcherTest.java
@@ -43,7 +43,7 @@
 
     private void addVms(String... names) {
         for (String vm : names) {
-            Records.Member member = new Records.Member("10.0.0.1", 80, "dc", "r", "1", 1);
+            Records.Member member = new Records.Member("10.0.0.1", 80, "dc", "r", "1", 1, false);
             view.changed(new SharedStore.Item(StoreKeys.member(vm), Records.encode(member), 1));
             messenger.peers.put(vm, message -> Promise.<Either<Failure, AdviceGiven>>promise()
                     .future());
--- a/library/src/test/java/io/radishspindle/pool/runtime/ConfigRelayTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/ConfigRelayTest.java
@@ -52,7 +52,7 @@
     private void addRegion(String region, int vms) {
         for (int i = 0; i < vms; i++) {
             Records.Member member =
-                    new Records.Member("10.0.0.1", 80, region + (i < 2 ? "-a" : "-b"), region, "1", vms - i);
+                    new Records.Member("10.0.0.1", 80, region + (i < 2 ? "-a" : "-b"), region, "1", vms - i, false);
             view.changed(new Item(StoreKeys.member(region + "-" + i), Records.encode(member), 1));
         }
     }
--- a/library/src/test/java/io/radishspindle/pool/runtime/OwnerElectionTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/OwnerElectionTest.java
@@ -42,7 +42,11 @@
     }
 
     private void addMember(String vm, double strength) {
-        Records.Member member = new Records.Member("10.0.0.1", 80, "dc", "r", "1", strength);
+        addMember(vm, strength, false);
+    }
+
+    private void addMember(String vm, double strength, boolean draining) {
+        Records.Member member = new Records.Member("10.0.0.1", 80, "dc", "r", "1", strength, draining);
         view.changed(new Item(StoreKeys.member(vm), Records.encode(member), 1));
     }
 
@@ -84,6 +88,34 @@
         assertThat(claims).hasSize(1);
     }
 
+    /** Pattern: VMs are stopped in turn. A pool was without an owner for 1 s while VMs waited for one that had left. */
+    @Test
+    void should_not_wait_for_a_stronger_vm_that_is_draining() {
+        // given
+        addMember("b", 2, true);
+        addMember("c", 3, true);
+
+        // when
+        tickFor(200);
+
+        // then
+        assertThat(claims).hasSize(1);
+    }
+
+    /** The removal of a claim may fail; the VM that has given up the pool still answers. */
+    @Test
+    void should_replace_an_owner_that_has_given_up_the_pool() {
+        // given
+        setOwner("b");
+        messenger.peers.put("b", message -> Future.succeededFuture(Either.right(new PoolPong(false))));
+
+        // when
+        tickFor(700);
+
+        // then
+        assertThat(claims).hasSize(1);
+    }
+
     @Test
     void should_replace_an_owner_that_does_not_answer() {
         // given
--- a/library/src/test/java/io/radishspindle/pool/runtime/SliceSizingTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/SliceSizingTest.java
@@ -54,7 +54,7 @@
             NodeIdentity self = new NodeIdentity(id, "1", "10.0.0.1", 80, "dc", "r", 1);
             sizing = new SliceSizing(clock, store, new PlainCodec(), view, self);
             for (String vm : List.of("a", "b")) {
-                Records.Member member = new Records.Member("10.0.0.1", 80, "dc", "r", "1", 1);
+                Records.Member member = new Records.Member("10.0.0.1", 80, "dc", "r", "1", 1, false);
                 view.changed(new Item(StoreKeys.member(vm), Records.encode(member), 1));
             }
         }
