--- a/library/src/main/java/io/radishspindle/pool/runtime/JobDirectory.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/JobDirectory.java
@@ -16,6 +16,7 @@
 import io.radishspindle.protocol.message.PoolMessages.QueryPoolJob;
 import io.vavr.control.Either;
 import io.vertx.core.Future;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -70,10 +71,17 @@
         }
         return messenger
                 .request(owner.get(), new QueryPoolJob(pool, jobId), PoolJobState.class, OWNER_TIMEOUT_MS)
-                .compose(reply -> reply.isRight() && !reply.get().phase().isEmpty()
-                        ? Future.succeededFuture(Either.right(
-                                Optional.of(JobPhase.valueOf(reply.get().phase()))))
-                        : phaseFromStore(pool, jobId));
+                .compose(reply -> {
+                    Optional<JobPhase> told = reply.toJavaOptional().flatMap(JobDirectory::phaseOf);
+                    return told.isPresent() ? Future.succeededFuture(Either.right(told)) : phaseFromStore(pool, jobId);
+                });
+    }
+
+    /** Empty if the owner can't tell, or uses a word of another release. */
+    private static Optional<JobPhase> phaseOf(PoolJobState state) {
+        return Arrays.stream(JobPhase.values())
+                .filter(phase -> phase.name().equals(state.phase()))
+                .findFirst();
     }
 
     private Optional<String> remoteOwner(String pool) {
