--- a/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
@@ -41,6 +41,8 @@
     private final RunEvents events;
     private final ProgressLedger progress;
     private long recoveryEndsMs = Long.MIN_VALUE;
+    /** Answers to holds that were sent before this time do not show that the owner still owns the pool. */
+    private long trustedFromMs = Long.MIN_VALUE;
 
     /** Creates the scheduler of a pool without jobs and workers. */
     public PoolScheduler() {
@@ -148,6 +150,19 @@
         return 2 * answering > listed;
     }
 
+    /**
+     * Treats all workers as silent until they answer a hold that is sent from now on: the owner did not run for a
+     * while, and its workers may have another owner.
+     */
+    public void distrustAnswers(long nowMs) {
+        trustedFromMs = nowMs;
+        workers.values().forEach(worker -> worker.lastAnswerMs = Math.min(worker.lastAnswerMs, silentSince(nowMs)));
+    }
+
+    private static long silentSince(long nowMs) {
+        return nowMs - PoolTiming.SILENT_MS;
+    }
+
     /** The next hold for a worker. A worker without runs is only watched. */
     public HoldOrder holdOrder(String workerId, long nowMs, long fencingToken) {
         WorkerState worker = workers.get(workerId);
@@ -178,6 +193,9 @@
         WorkerState worker = workers.get(workerId);
         if (worker != null) {
             events.reported(worker, requestedAtMs, report, nowMs, wallMs);
+            if (requestedAtMs < trustedFromMs) {
+                worker.lastAnswerMs = Math.min(worker.lastAnswerMs, silentSince(trustedFromMs));
+            }
         }
     }
 
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PauseDetector.java
@@ -0,0 +1,32 @@
+package io.radishspindle.pool.runtime;
+
+import io.radishspindle.platform.Clock;
+
+/**
+ * Finds out that this process did not run for a while: it was stopped or starved, which the steady clock shows, or its
+ * machine was suspended, which only the time of day shows. Belongs to one event loop.
+ */
+final class PauseDetector {
+    /** Longest time between two looks that is no pause, in milliseconds; other VMs may claim a pool after 0.9 s. */
+    private static final long PAUSE_MS = 1_500;
+
+    private final Clock clock;
+    private long lastMs;
+    private long lastWallMs;
+
+    PauseDetector(Clock clock) {
+        this.clock = clock;
+        lastMs = clock.nowMs();
+        lastWallMs = clock.wallMs();
+    }
+
+    /** How long the process did not run since the last look, in milliseconds; 0 if it ran. Look several times a second. */
+    long look() {
+        long nowMs = clock.nowMs();
+        long wallMs = clock.wallMs();
+        long gapMs = Math.max(nowMs - lastMs, wallMs - lastWallMs);
+        lastMs = nowMs;
+        lastWallMs = wallMs;
+        return gapMs > PAUSE_MS ? gapMs : 0;
+    }
+}
--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolNode.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolNode.java
@@ -155,6 +155,11 @@
         return !draining && controlWatch.isListed() && hasFreshConfig();
     }
 
+    /** Whether this VM has read the configuration and knows the other VMs, so that it can serve requests. */
+    public boolean hasStarted() {
+        return config != null && controlWatch.isListed();
+    }
+
     private boolean hasFreshConfig() {
         return config != null && clock.nowMs() - configWatch.lastSuccessMs() < STORE_SILENT_MS;
     }
--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
@@ -68,6 +68,7 @@
     private final PrefixWatch intake;
     private final MetricRegistry metrics;
     private final BoundedLog log;
+    private final PauseDetector pauses;
     private final long claimedAtMs;
     private boolean loaded;
     private boolean closed;
@@ -97,6 +98,7 @@
         log = new BoundedLog(clock);
         this.onDeposed = onDeposed;
         claimedAtMs = clock.nowMs();
+        pauses = new PauseDetector(clock);
         sessions = new WorkerSessions(vertx, clock, control, scheduler, token, log, new Sessions());
         writer = new ProgressWriter(vertx, clock, store, pool, token, scheduler, new Progress());
         intake = new PrefixWatch(
@@ -179,6 +181,7 @@
                 specs.size(),
                 scheduler.openJobs(),
                 clock.nowMs() - claimedAtMs);
+        pauses.look();
         intake.startAfter(jobs.revision());
         sessions.open();
         sessions.pollNew();
@@ -259,12 +262,22 @@
         if (closed || !loaded) {
             return;
         }
+        distrustAfterPause();
         for (PoolAction action : scheduler.schedule(clock.nowMs(), clock.wallMs(), advice.channels(pool))) {
             perform(action);
         }
         writer.poke();
     }
 
+    /** Another VM may have claimed the pool meanwhile; only answers to later holds show that this one still owns it. */
+    private void distrustAfterPause() {
+        long pauseMs = pauses.look();
+        if (pauseMs > 0) {
+            Logger.warn("event=owner-paused pool={} token={} pause_ms={}", pool, token, pauseMs);
+            scheduler.distrustAnswers(clock.nowMs());
+        }
+    }
+
     private void perform(PoolAction action) {
         if (action instanceof PoolAction.Start start) {
             metrics.counter("pool.starts").inc();
@@ -387,6 +400,11 @@
 
     /** Reports of workers. */
     private final class Sessions implements WorkerSessions.Listener {
+        @Override
+        public void beforeReport() {
+            distrustAfterPause();
+        }
+
         @Override
         public void onReport() {
             passSoon();
--- a/library/src/main/java/io/radishspindle/pool/runtime/WorkerSessions.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/WorkerSessions.java
@@ -31,6 +31,9 @@
 final class WorkerSessions {
     /** What the sessions tell the owner. */
     interface Listener {
+        /** Answers of workers are about to be taken over. */
+        void beforeReport();
+
         /** Something has changed that may allow a decision. */
         void onReport();
 
@@ -117,6 +120,7 @@
         if (closed) {
             return;
         }
+        listener.beforeReport();
         if (result.isRight() && result.get().answer() == Answer.ACCEPTED) {
             scheduler.holdAnswered(id, sentAtMs, result.get().report(), receivedAtMs, clock.wallMs());
             listener.onReport();
