Move the reading of stored jobs out of the owner

StoredJobs decides what each stored item of a pool means to a new owner, with tests of its own for jobs that were cancelled too late and for items of the release before. No change of behaviour.

--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
@@ -8,7 +8,6 @@
 import io.radishspindle.pool.core.PoolLoad;
 import io.radishspindle.pool.core.PoolScheduler;
 import io.radishspindle.pool.model.JobPhase;
-import io.radishspindle.pool.model.JobProgress;
 import io.radishspindle.pool.model.PoolJob;
 import io.radishspindle.pool.model.WorkerEntry;
 import io.radishspindle.pool.port.SharedStore;
@@ -22,13 +21,10 @@
 import io.vertx.core.Vertx;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.BiConsumer;
 import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
@@ -157,28 +153,14 @@
 
     private void onLoaded(Listing jobs, List<Item> progress) {
         writer.loaded(progress);
-        Map<String, JobProgress> saved = new HashMap<>();
-        progress.forEach(item ->
-                decode(item, JobProgress.class).ifPresent(value -> saved.put(StoreKeys.lastPart(item.key()), value)));
-        Set<String> cancelled = new HashSet<>();
-        List<Item> specs = new ArrayList<>();
-        for (Item item : jobs.items()) {
-            if (StoreKeys.isCancellation(pool, item.key())) {
-                cancelled.add(StoreKeys.lastPart(item.key()));
-            } else {
-                specs.add(item);
-            }
-        }
-        for (Item item : specs) {
-            loadJob(item, saved.get(StoreKeys.lastPart(item.key())), cancelled);
-        }
+        int count = new StoredJobs(pool, jobs.items(), progress).loadInto(scheduler, clock.wallMs());
         loaded = true;
         scheduler.beginRecovery(clock.nowMs());
         Logger.info(
                 "event=pool-loaded pool={} token={} jobs={} open={} took_ms={}",
                 pool,
                 token,
-                specs.size(),
+                count,
                 scheduler.openJobs(),
                 clock.nowMs() - claimedAtMs);
         pauses.look();
@@ -188,30 +170,6 @@
         tickTimer = vertx.setPeriodic(TICK_MS, ignored -> tick());
     }
 
-    /** Jobs that have ended are not decoded, which saves most of the time of a cold start. */
-    private void loadJob(Item item, @Nullable JobProgress progress, Set<String> cancelled) {
-        String id = StoreKeys.lastPart(item.key());
-        if (progress != null && progress.phase().isFinal()) {
-            scheduler.loadEnded(id, progress.phase(), progress.endedWallMs());
-        } else if (cancelled.contains(id) || isEnded(item)) {
-            scheduler.loadEnded(id, JobPhase.CANCELLED, clock.wallMs());
-        } else {
-            decode(item, PoolJob.class).ifPresent(job -> scheduler.load(job, progress, false, clock.wallMs()));
-        }
-    }
-
-    private static boolean isEnded(Item item) {
-        byte[] value = item.value();
-        return value != null && Records.isEndedJob(value);
-    }
-
-    private static <T> Optional<T> decode(Item item, Class<T> type) {
-        byte[] value = item.value();
-        return value == null
-                ? Optional.empty()
-                : Records.decode(item.key(), value, type).toJavaOptional();
-    }
-
     private void tick() {
         pass();
         ticks++;
@@ -444,8 +402,8 @@
             }
             if (StoreKeys.isCancellation(pool, item.key())) {
                 cancelStored(StoreKeys.lastPart(item.key()));
-            } else if (!Records.isEndedJob(value) && !scheduler.isKnown(StoreKeys.lastPart(item.key()))) {
-                decode(item, PoolJob.class).ifPresent(PoolOwner.this::jobStored);
+            } else if (!scheduler.isKnown(StoreKeys.lastPart(item.key()))) {
+                StoredJobs.openJob(item).ifPresent(PoolOwner.this::jobStored);
             }
         }
     }
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/pool/runtime/StoredJobs.java
@@ -0,0 +1,79 @@
+package io.radishspindle.pool.runtime;
+
+import io.radishspindle.pool.core.PoolScheduler;
+import io.radishspindle.pool.model.JobPhase;
+import io.radishspindle.pool.model.JobProgress;
+import io.radishspindle.pool.model.PoolJob;
+import io.radishspindle.pool.port.SharedStore.Item;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What the store holds of a pool when its owner changes. Not thread-safe.
+ *
+ * <p>Invariants: a final phase in the progress of a job stands whatever else is stored of it; an item that stands for
+ * an ended job without such progress was left by a cancellation. Jobs that have ended are not decoded, which saves most
+ * of the time of a cold start.
+ */
+final class StoredJobs {
+    private final List<Item> jobs = new ArrayList<>();
+    private final Set<String> cancelled = new HashSet<>();
+    private final Map<String, JobProgress> progress = new HashMap<>();
+
+    /**
+     * Takes over two listings that were made after the claim.
+     *
+     * @param intake jobs and cancellations of the pool
+     * @param progress progress of its jobs
+     */
+    StoredJobs(String pool, List<Item> intake, List<Item> progress) {
+        for (Item item : intake) {
+            if (StoreKeys.isCancellation(pool, item.key())) {
+                cancelled.add(StoreKeys.lastPart(item.key()));
+            } else {
+                jobs.add(item);
+            }
+        }
+        progress.forEach(item -> decode(item, JobProgress.class)
+                .ifPresent(value -> this.progress.put(StoreKeys.lastPart(item.key()), value)));
+    }
+
+    /** Loads all jobs into the scheduler of a new owner; yields their number. */
+    int loadInto(PoolScheduler scheduler, long wallMs) {
+        for (Item item : jobs) {
+            String id = StoreKeys.lastPart(item.key());
+            JobProgress saved = progress.get(id);
+            if (saved != null && saved.phase().isFinal()) {
+                scheduler.loadEnded(id, saved.phase(), saved.endedWallMs());
+            } else if (cancelled.contains(id) || isEnded(item)) {
+                scheduler.loadEnded(id, JobPhase.CANCELLED, wallMs);
+            } else {
+                openJob(item).ifPresent(job -> scheduler.load(job, saved, false, wallMs));
+            }
+        }
+        return jobs.size();
+    }
+
+    /** The job of an item; empty if it has ended, has been removed or can't be read, which is logged. */
+    static Optional<PoolJob> openJob(Item item) {
+        return isEnded(item) ? Optional.empty() : decode(item, PoolJob.class);
+    }
+
+    private static boolean isEnded(Item item) {
+        byte @Nullable [] value = item.value();
+        return value != null && Records.isEndedJob(value);
+    }
+
+    private static <T> Optional<T> decode(Item item, Class<T> type) {
+        byte @Nullable [] value = item.value();
+        return value == null
+                ? Optional.empty()
+                : Records.decode(item.key(), value, type).toJavaOptional();
+    }
+}
--- /dev/null
+++ b/library/src/test/java/io/radishspindle/pool/runtime/StoredJobsTest.java
@@ -0,0 +1,108 @@
+package io.radishspindle.pool.runtime;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.radishspindle.model.Resources;
+import io.radishspindle.pool.core.PoolScheduler;
+import io.radishspindle.pool.model.JobPhase;
+import io.radishspindle.pool.model.JobProgress;
+import io.radishspindle.pool.model.PoolJob;
+import io.radishspindle.pool.model.StepSpec;
+import io.radishspindle.pool.port.SharedStore.Item;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Guards against a job that is forgotten, reopened or given another end when its pool changes hands. */
+class StoredJobsTest {
+    private static final String POOL = "desk";
+
+    private final PoolScheduler scheduler = new PoolScheduler();
+    private final List<Item> intake = new ArrayList<>();
+    private final List<Item> progress = new ArrayList<>();
+
+    private static PoolJob job() {
+        StepSpec step = new StepSpec(
+                1, new Resources(1, 1, 0), 1, List.of(), false, false, false, "", "", 0, false, false, "", 0, false, 0);
+        return new PoolJob("j", "q", POOL, "p", List.of(step), 1, 0, 0, 1, 0, 1, 1, 1, null);
+    }
+
+    private void storeJob(Object value) {
+        intake.add(new Item(StoreKeys.job(POOL, "j"), Records.encode(value), 1));
+    }
+
+    private void storeProgress(JobPhase phase) {
+        progress.add(new Item(StoreKeys.progress(POOL, "j"), Records.encode(new JobProgress(phase, 7, List.of())), 2));
+    }
+
+    private void load() {
+        int count = new StoredJobs(POOL, intake, progress).loadInto(scheduler, 9);
+        assertThat(count).isEqualTo(1);
+    }
+
+    @Test
+    void should_go_on_with_an_open_job() {
+        // given
+        storeJob(job());
+
+        // when
+        load();
+
+        // then
+        assertThat(scheduler.phase("j")).contains(JobPhase.QUEUED);
+        assertThat(scheduler.openJobs()).isEqualTo(1);
+    }
+
+    @ParameterizedTest
+    @EnumSource(names = {"COMPLETED", "FAILED"})
+    void should_keep_the_end_of_a_job_that_was_cancelled_too_late(JobPhase phase) {
+        // given
+        storeJob(new Records.EndedJob(JobPhase.CANCELLED));
+        storeProgress(phase);
+        intake.add(new Item(StoreKeys.cancellation(POOL, "j"), new byte[] {1}, 3));
+
+        // when
+        load();
+
+        // then
+        assertThat(scheduler.phase("j")).contains(phase);
+    }
+
+    /** The listing of cancellations may be older than that of jobs. */
+    @Test
+    void should_take_an_ended_item_without_progress_for_a_cancellation() {
+        // given
+        storeJob(new Records.EndedJob(JobPhase.CANCELLED));
+        storeProgress(JobPhase.RUNNING);
+
+        // when
+        load();
+
+        // then
+        assertThat(scheduler.phase("j")).contains(JobPhase.CANCELLED);
+        assertThat(scheduler.openJobs()).isZero();
+    }
+
+    /** Items of the release before hold the whole job after its end. */
+    @Test
+    void should_read_an_ended_job_that_was_stored_by_an_older_release() {
+        // given
+        storeJob(job());
+        storeProgress(JobPhase.COMPLETED);
+
+        // when
+        load();
+
+        // then
+        assertThat(scheduler.phase("j")).contains(JobPhase.COMPLETED);
+    }
+
+    @Test
+    void should_see_no_open_job_in_the_item_of_an_ended_one() {
+        storeJob(new Records.EndedJob(JobPhase.COMPLETED));
+
+        assertThat(StoredJobs.openJob(intake.get(0))).isEmpty();
+    }
+}
