Count a VM as owner while its claim has no answer

Change: a VM that is claiming a pool does not deny it.

Test: OwnerElectionTest.should_count_as_owner_while_its_claim_has_no_answer.

--- a/library/src/main/java/io/radishspindle/pool/runtime/OwnerElection.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/OwnerElection.java
@@ -90,8 +90,9 @@
         held.remove(pool);
     }
 
+    /** Whether this VM owns the pool or may own it: others see a claim before its answer comes from a slow store. */
     boolean holds(String pool) {
-        return held.containsKey(pool);
+        return held.containsKey(pool) || claiming.contains(pool);
     }
 
     /** Looks at each pool; called several times a second. */
--- a/library/src/test/java/io/radishspindle/pool/runtime/OwnerElectionTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/OwnerElectionTest.java
@@ -116,6 +116,21 @@
         assertThat(claims).hasSize(1);
     }
 
+    /** Pattern: a slow store. A stand-by that is told "not mine" meanwhile would claim the pool over a fresh claim. */
+    @Test
+    void should_count_as_owner_while_its_claim_has_no_answer() {
+        // given
+        store.hangs = true;
+
+        // when
+        tickFor(500);
+
+        // then
+        assertThat(election.holds(POOL)).isTrue();
+        store.hanging.forEach(Runnable::run);
+        assertThat(election.holds(POOL)).isFalse();
+    }
+
     @Test
     void should_replace_an_owner_that_does_not_answer() {
         // given
