--- a/library/src/main/java/io/radishspindle/pool/runtime/PauseDetector.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PauseDetector.java
@@ -20,7 +20,7 @@
         lastWallMs = clock.wallMs();
     }
 
-    /** How long the process did not run since the last look, in milliseconds; 0 if it ran. Look several times a second. */
+    /** Milliseconds for which the process did not run since the last look, 0 if it ran; look several times a second. */
     long look() {
         long nowMs = clock.nowMs();
         long wallMs = clock.wallMs();
--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
@@ -227,7 +227,7 @@
         writer.poke();
     }
 
-    /** Another VM may have claimed the pool meanwhile; only answers to later holds show that this one still owns it. */
+    /** Another VM may own the pool since a pause; only answers to later holds show that this one still does. */
     private void distrustAfterPause() {
         long pauseMs = pauses.look();
         if (pauseMs > 0) {
--- a/library/src/main/java/io/radishspindle/pool/runtime/RelayedStore.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/RelayedStore.java
@@ -39,7 +39,7 @@
     private static final long MIN_RETRY_AFTER_MS = 1_000;
 
     private static final long MAX_RETRY_AFTER_MS = 3_000;
-    /** Pause between probes of the direct path while it is down, in milliseconds; callers are refused until it is back. */
+    /** Pause between probes of the direct path while it is down, in milliseconds; callers are refused meanwhile. */
     private static final long PROBE_PAUSE_MS = 150;
     /** Limit of a probe, in milliseconds; a slow store takes up to 400 ms. */
     private static final long PROBE_TIMEOUT_MS = 500;
