Log the runs that end with their worker

Change: event=run-lost with run, worker, address, token of the owner, age and count of losses, and the counter pool.runs.lost; the event lines of an owner move to PoolEventLog.

--- a/library/src/main/java/io/radishspindle/pool/core/PoolAction.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolAction.java
@@ -39,6 +39,22 @@
     record RunTimeObserved(RunKind kind, double predictedMs, double actualMs, String source, double confidence)
             implements PoolAction {}
 
+    /**
+     * A run has ended with its worker or without a report of its end; for the log.
+     *
+     * @param ageMs milliseconds since the start was ordered
+     * @param others other runs on the worker at that time
+     * @param losses runs of the task that this owner has lost so far
+     */
+    record RunLost(Run run, WorkerEntry worker, String reason, long ageMs, int others, int losses)
+            implements PoolAction {
+        static RunLost of(RunState run, String reason, long nowMs) {
+            int losses = run.task == null ? 0 : run.task.lostRuns;
+            int others = run.worker.runs.size() - 1;
+            return new RunLost(run.run, run.worker.entry, reason, nowMs - run.sentAtMs, others, losses);
+        }
+    }
+
     /** The state of a worker has changed; for the log. */
     record WorkerChanged(String workerId, String change, String reason) implements PoolAction {}
 }
--- a/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
+++ b/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
@@ -116,14 +116,19 @@
     void onLeasesExpired(WorkerState worker, String reason, long nowMs, long wallMs) {
         if (!worker.runs.isEmpty()) {
             actions.add(new PoolAction.WorkerChanged(worker.id(), "lost", reason));
-            expireAllRuns(worker, nowMs, wallMs);
+            for (RunState run : List.copyOf(worker.runs.values())) {
+                lose(run, reason, nowMs, wallMs);
+            }
         }
     }
 
-    private void expireAllRuns(WorkerState worker, long nowMs, long wallMs) {
-        for (RunState run : List.copyOf(worker.runs.values())) {
-            finish(run, RunEnd.LEASE_EXPIRED, nowMs, wallMs);
+    /** Ends a run of which the worker reports no end. */
+    private void lose(RunState run, String reason, long nowMs, long wallMs) {
+        if (run.task != null) {
+            run.task.lostRuns++;
+            actions.add(PoolAction.RunLost.of(run, reason, nowMs));
         }
+        finish(run, RunEnd.LEASE_EXPIRED, nowMs, wallMs);
     }
 
     private void onRunPresent(RunState run, RunningTask running, long nowMs) {
@@ -171,7 +176,7 @@
             stop(run, nowMs, "outcome of start is unknown");
             return;
         }
-        finish(run, RunEnd.LEASE_EXPIRED, nowMs, wallMs);
+        lose(run, "missing from a report", nowMs, wallMs);
     }
 
     private void adopt(WorkerState worker, RunningTask running, long nowMs) {
--- a/library/src/main/java/io/radishspindle/pool/core/TaskState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/TaskState.java
@@ -19,6 +19,8 @@
 
     /** Attempts that have failed; a set, as workers report an end again after a takeover. */
     final Set<Integer> failedAttempts = new TreeSet<>();
+    /** Runs that ended with their worker, under this owner; for the log. */
+    int lostRuns;
     /** Consecutive ends of a lasting task as done or failed, for its restart backoff. */
     int consecutiveEnds;
 
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolEventLog.java
@@ -0,0 +1,74 @@
+package io.radishspindle.pool.runtime;
+
+import com.codahale.metrics.MetricRegistry;
+import io.radishspindle.pool.core.PoolAction;
+import java.util.Locale;
+import org.tinylog.Logger;
+
+/**
+ * Logs and counts what an owner's scheduler reports of jobs, runs and workers: one line per event, limited in number.
+ * Confined to one event loop.
+ */
+final class PoolEventLog {
+    private final MetricRegistry metrics;
+    private final BoundedLog log;
+    private final String pool;
+    private final long fencingToken;
+
+    PoolEventLog(MetricRegistry metrics, BoundedLog log, String pool, long fencingToken) {
+        this.metrics = metrics;
+        this.log = log;
+        this.pool = pool;
+        this.fencingToken = fencingToken;
+    }
+
+    /** Logs an action that is an event; ignores the orders to workers. */
+    void log(PoolAction action) {
+        if (action instanceof PoolAction.JobEnded ended) {
+            onJobEnded(ended);
+        } else if (action instanceof PoolAction.RunLost lost) {
+            onRunLost(lost);
+        } else if (action instanceof PoolAction.WorkerChanged changed) {
+            Logger.info(
+                    "event=worker-{} worker={} pool={} reason=\"{}\"",
+                    changed.change(),
+                    changed.workerId(),
+                    pool,
+                    changed.reason());
+        }
+    }
+
+    private void onJobEnded(PoolAction.JobEnded ended) {
+        metrics.counter("pool.jobs." + ended.phase().toLowerCase(Locale.ROOT)).inc();
+        if (log.allows("job-ended")) {
+            Logger.info(
+                    "event=job-ended job={} queue={} phase={} token={} age_ms={} steps=\"{}\" reason=\"{}\"",
+                    ended.jobId(),
+                    ended.queue(),
+                    ended.phase(),
+                    fencingToken,
+                    ended.ageMs(),
+                    ended.timeline(),
+                    ended.reason());
+        }
+    }
+
+    private void onRunLost(PoolAction.RunLost lost) {
+        metrics.counter("pool.runs.lost").inc();
+        if (log.allows("run-lost")) {
+            Logger.info(
+                    "event=run-lost run={} worker={} address={}:{} pool={} token={} age_ms={} others={} losses={}"
+                            + " reason=\"{}\"",
+                    lost.run(),
+                    lost.worker().id(),
+                    lost.worker().host(),
+                    lost.worker().port(),
+                    pool,
+                    fencingToken,
+                    lost.ageMs(),
+                    lost.others(),
+                    lost.losses(),
+                    lost.reason());
+        }
+    }
+}
--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
@@ -24,7 +24,6 @@
 import io.vertx.core.Vertx;
 import java.util.Collection;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.BiConsumer;
@@ -71,6 +70,7 @@
     private final PortionedTasks loading;
     private final MetricRegistry metrics;
     private final BoundedLog log;
+    private final PoolEventLog events;
     private final PauseDetector pauseDetector;
     private final long claimedAtMs;
     private boolean loaded;
@@ -100,6 +100,7 @@
         this.advice = advice;
         this.metrics = metrics;
         log = new BoundedLog(clock);
+        events = new PoolEventLog(metrics, log, pool, fencingToken);
         this.onSuperseded = onSuperseded;
         this.runTimes = runTimes;
         storedRunTimes = new StoredRunTimes(clock, store, pool, fencingToken, runTimes, this::closeAsSuperseded);
@@ -294,29 +295,10 @@
             sessions.pace(pace.worker(), pace.run(), pace.percent());
         } else if (action instanceof PoolAction.Advise request) {
             requestAdvice(request);
-        } else if (action instanceof PoolAction.JobEnded ended) {
-            metrics.counter("pool.jobs." + ended.phase().toLowerCase(Locale.ROOT))
-                    .inc();
-            if (log.allows("job-ended")) {
-                Logger.info(
-                        "event=job-ended job={} queue={} phase={} token={} age_ms={} steps=\"{}\" reason=\"{}\"",
-                        ended.jobId(),
-                        ended.queue(),
-                        ended.phase(),
-                        fencingToken,
-                        ended.ageMs(),
-                        ended.timeline(),
-                        ended.reason());
-            }
         } else if (action instanceof PoolAction.RunTimeObserved observed) {
             runTimeReport.log(observed);
-        } else if (action instanceof PoolAction.WorkerChanged changed) {
-            Logger.info(
-                    "event=worker-{} worker={} pool={} reason=\"{}\"",
-                    changed.change(),
-                    changed.workerId(),
-                    pool,
-                    changed.reason());
+        } else {
+            events.log(action);
         }
     }
 
