--- a/library/src/test/java/io/radishspindle/pool/core/PoolSimulation.java
+++ b/library/src/test/java/io/radishspindle/pool/core/PoolSimulation.java
@@ -7,6 +7,7 @@
 import io.radishspindle.pool.model.PoolJob;
 import io.radishspindle.pool.model.RunEnd;
 import io.radishspindle.pool.model.StepSpec;
+import io.radishspindle.pool.model.TaskName;
 import io.radishspindle.pool.model.WorkerEntry;
 import io.radishspindle.pool.port.AdviceService.Advice;
 import io.radishspindle.pool.port.WorkerControl.Answer;
@@ -32,6 +33,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.function.ToLongFunction;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -48,6 +50,14 @@
     private static final long STEP_MS = 5;
     private static final long MAX_LATENCY_MS = 12;
     private static final long WRITE_INTERVAL_MS = 40;
+    /** From the start of a task that crashes its worker to the crash. */
+    private static final long CRASH_DELAY_MS = 10;
+    /** Time after which a worker that has crashed is back. */
+    private static final long MIN_RESTART_MS = 3_000;
+
+    private static final long MAX_RESTART_JITTER_MS = 500;
+    /** Time after which the entry of a silent worker is removed. */
+    private static final long ENTRY_TTL_MS = 4_500;
 
     private record Event(long atMs, long order, Runnable action) {}
 
@@ -88,6 +98,9 @@
 
     private final Map<String, Long> ticketEndsMs = new HashMap<>();
     ToLongFunction<StepSpec> workMs = StepSpec::estimateMs;
+    /** Tasks that crash each worker that starts them. */
+    Predicate<TaskName> crashesWorker = task -> false;
+
     private long nextWriteMs;
     /** Number of progress writes in flight. */
     private int writesInFlight;
@@ -153,11 +166,31 @@
     }
 
     void addWorker(String id, Resources capacity, String rack) {
-        WorkerEntry entry =
-                new WorkerEntry(id, "pool", "10.0.0.1", 80, "dc", rack, false, -1, 500, capacity, List.of("a", rack));
-        workers.put(id, new SimWorker(entry, history));
+        int port = 8_000 + workers.size();
+        register(new WorkerEntry(
+                id, "pool", "10.0.0.1", port, "dc", rack, false, -1, 500, capacity, List.of("a", rack)));
+    }
+
+    private void register(WorkerEntry entry) {
+        workers.put(entry.id(), new SimWorker(entry, history));
         scheduler.onWorkerRegistered(entry, nowMs);
-        poll(id, scheduler, fencingToken);
+        poll(entry.id(), scheduler, fencingToken);
+    }
+
+    /** Ends a worker with all its runs; seconds later another one with the same properties has its address. */
+    void crash(SimWorker worker) {
+        if (worker.isDown) {
+            return;
+        }
+        worker.crash();
+        after(MIN_RESTART_MS + random.nextLong(MAX_RESTART_JITTER_MS), () -> {
+            worker.isReplaced = true;
+            register(worker.successor(nowMs));
+        });
+        after(ENTRY_TTL_MS, () -> {
+            workers.remove(worker.entry.id());
+            scheduler.onWorkerUnregistered(worker.entry.id());
+        });
     }
 
     void submit(PoolJob job) {
@@ -256,11 +289,22 @@
             return;
         }
         SimWorker worker = workers.get(id);
+        if (worker == null) {
+            return;
+        }
+        if (worker.isDown) {
+            after(latency(), () -> onHoldBroken(worker, owner, ownToken, nowMs));
+            return;
+        }
         HoldOrder order = owner.holdOrder(id, nowMs, ownToken);
         long sentAtMs = nowMs;
         long bootWallMs = worker.bootWallMs;
         long waitMs = worker.hasEnds() ? 0 : Math.min(order.waitMs(), 200);
+        worker.onCrash = () -> after(latency(), () -> onHoldBroken(worker, owner, ownToken, sentAtMs));
         after(latency() + waitMs, () -> {
+            if (worker.isDown) {
+                return;
+            }
             if (worker.unreachable || worker.bootWallMs != bootWallMs) {
                 owner.onHoldFailed(id, sentAtMs);
                 after(PoolTiming.HOLD_RETRY_MS, () -> poll(id, owner, ownToken));
@@ -280,6 +324,19 @@
         });
     }
 
+    /** The worker has ended: its connections are closed, and calls are refused until another one has its address. */
+    private void onHoldBroken(SimWorker worker, PoolScheduler owner, long ownToken, long sentAtMs) {
+        if (owner != scheduler) {
+            return;
+        }
+        String id = worker.entry.id();
+        owner.onHoldFailed(id, sentAtMs);
+        if (worker.isReplaced) {
+            owner.onWorkerReplaced(worker.entry, nowMs, nowMs);
+        }
+        after(PoolTiming.HOLD_RETRY_MS, () -> poll(id, owner, ownToken));
+    }
+
     private void perform(PoolAction action) {
         PoolScheduler owner = scheduler;
         if (action instanceof PoolAction.Start start) {
@@ -331,11 +388,16 @@
     /** Sends an order; {@code onAnswer} receives null if there is no answer. */
     private void send(String id, Function<SimWorker, Answer> order, Consumer<@Nullable Answer> onAnswer) {
         SimWorker worker = workers.get(id);
+        if (worker == null || worker.isDown) {
+            // The connection is refused, or another worker has the address.
+            after(latency(), () -> onAnswer.accept(Answer.UNHEALTHY));
+            return;
+        }
         long bootWallMs = worker.bootWallMs;
         if (random.nextDouble() < lateOrderProbability) {
             // A delayed order is lost if the worker restarts.
             after(2_000 + random.nextLong(10_000), () -> {
-                if (!worker.unreachable && worker.bootWallMs == bootWallMs) {
+                if (!worker.isDown && !worker.unreachable && worker.bootWallMs == bootWallMs) {
                     order.apply(worker);
                 }
             });
@@ -343,13 +405,17 @@
             return;
         }
         after(latency(), () -> {
+            if (worker.isDown) {
+                onAnswer.accept(null);
+                return;
+            }
             if (worker.unreachable) {
                 after(900, () -> onAnswer.accept(null));
                 return;
             }
             Answer answer = order.apply(worker);
             boolean lost = random.nextDouble() < lostAnswerProbability;
-            after(lost ? 900 : latency(), () -> onAnswer.accept(lost ? null : answer));
+            after(lost ? 900 : latency(), () -> onAnswer.accept(lost || worker.isDown ? null : answer));
         });
     }
 
@@ -360,6 +426,14 @@
         if (job.advice() != null && ticketEndsMs.getOrDefault(order.ticket(), 0L) < nowMs) {
             return Answer.NO_TICKET;
         }
+        if (crashesWorker.test(order.run().task())) {
+            after(CRASH_DELAY_MS, () -> {
+                if (worker.running.containsKey(order.run())) {
+                    history.crashedUnder(order.run().task());
+                    crash(worker);
+                }
+            });
+        }
         long durationMs = step.lasting() ? Long.MAX_VALUE / 4 : workMs.applyAsLong(step);
         return worker.start(
                 order, nowMs, step.perTask(), step.fills(), step.checkpoint(), durationMs, end, job.tenant());
--- a/library/src/test/java/io/radishspindle/pool/core/SimHistory.java
+++ b/library/src/test/java/io/radishspindle/pool/core/SimHistory.java
@@ -28,6 +28,22 @@
     Map<String, Resources> quotas = Map.of();
 
     int starts;
+    private final Map<TaskName, Integer> crashes = new HashMap<>();
+    private final Map<TaskName, Integer> startsAfterThirdCrash = new HashMap<>();
+
+    /** A task has crashed the worker that started it. */
+    void crashedUnder(TaskName task) {
+        crashes.merge(task, 1, Integer::sum);
+    }
+
+    /** Number of workers that crashed under a task. */
+    int crashes(TaskName task) {
+        return crashes.getOrDefault(task, 0);
+    }
+
+    int crashes() {
+        return crashes.values().stream().mapToInt(Integer::intValue).sum();
+    }
 
     void violation(String text) {
         violations.add(text);
@@ -52,6 +68,9 @@
 
     void started(Run run, String worker, long nowMs) {
         starts++;
+        if (crashes(run.task()) >= 3 && startsAfterThirdCrash.merge(run.task(), 1, Integer::sum) == 3) {
+            violation(run.task() + " started three times more after three workers had crashed under it");
+        }
         firstStartMs.putIfAbsent(run.task(), nowMs);
         if (acknowledgedSuccess.contains(run.task())) {
             violation(run + " started after its success was acknowledged");
--- a/library/src/test/java/io/radishspindle/pool/core/SimWorker.java
+++ b/library/src/test/java/io/radishspindle/pool/core/SimWorker.java
@@ -73,6 +73,13 @@
     private final Map<TaskName, Integer> closedAttempts = new HashMap<>();
     WorkerEntry entry;
     boolean unreachable;
+    /** The worker has crashed; it never comes back under its id. */
+    boolean isDown;
+    /** Another worker answers at the address. */
+    boolean isReplaced;
+    /** Breaks the hold in flight. */
+    Runnable onCrash = () -> {};
+
     long bootWallMs;
     private long highestFencingToken;
     private long leaseEndWorkerMs;
@@ -88,8 +95,36 @@
         return CLOCK_OFFSET_MS + (long) (nowMs * CLOCK_RATE);
     }
 
+    /** Ends the worker and all its runs. */
+    void crash() {
+        clear();
+        isDown = true;
+        onCrash.run();
+    }
+
+    /** The registration of the worker that has the address after a crash. */
+    WorkerEntry successor(long nowMs) {
+        return new WorkerEntry(
+                entry.id() + "'",
+                entry.pool(),
+                entry.host(),
+                entry.port(),
+                entry.dataCentre(),
+                entry.rack(),
+                false,
+                -1,
+                nowMs,
+                entry.capacity(),
+                entry.labels());
+    }
+
     /** Restarts the worker under the same id; all its state is lost. */
     void restart(long nowMs) {
+        clear();
+        bootWallMs = nowMs + 1;
+    }
+
+    private void clear() {
         running.keySet().forEach(run -> history.lost(run, entry.id()));
         running.values().forEach(active -> history.discharge(active.tenant, active.resources));
         running.clear();
@@ -98,7 +133,6 @@
         highestFencingToken = 0;
         leaseEndWorkerMs = 0;
         lastSequence = 0;
-        bootWallMs = nowMs + 1;
     }
 
     Answer start(
