Give up tasks that crash the workers that start them

Cause: the end of a run with its worker counted like an expired lease, which is no attempt; nothing of it was stored. Class of fault: a retry that no count limits, as the failure is booked on the server instead of on the request.

Change: CrashAttribution decides which runs are to blame: those that had not survived their start (300 ms) when the connections of the worker broke, once another incarnation answers at its address in the same pool. Not to blame: runs on draining workers, behind silent links, or when other workers were lost at the same moment; a shared blame becomes a sole one when all other suspects have survived a later start. Suspects run as trials on workers that take no other starts meanwhile, on a third of the workers at most, prime suspects on a tenth. Two crashes with sole blame end the job as failed (three, if workers crash for other causes as well). Crashes, planned trials and runs whose worker may have crashed are stored with the progress, and a trial starts only once it is durable, so that a new owner continues the count. Log lines: worker-crashed, task-trial, task-cleared, task-given-up.

--- a/library/src/main/java/io/radishspindle/platform/http/HttpCaller.java
+++ b/library/src/main/java/io/radishspindle/platform/http/HttpCaller.java
@@ -40,8 +40,9 @@
      * An exchange without a complete answer.
      *
      * @param sent whether a byte of the request may have been sent
+     * @param timedOut whether the peer was silent, rather than that the connection was closed or refused
      */
-    public record Broken(boolean sent, String reason) {}
+    public record Broken(boolean sent, boolean timedOut, String reason) {}
 
     private final Vertx vertx;
     private final HttpClient client;
@@ -93,13 +94,14 @@
         }
 
         void start(RequestOptions options, long timeoutMs) {
-            timerId = vertx.setTimer(Math.max(1, timeoutMs), id -> abort("no complete answer in " + timeoutMs + " ms"));
+            timerId = vertx.setTimer(
+                    Math.max(1, timeoutMs), id -> abort(true, "no complete answer in " + timeoutMs + " ms"));
             client.request(options).onComplete(this::onConnected);
         }
 
         private void onConnected(AsyncResult<HttpClientRequest> connected) {
             if (connected.failed()) {
-                finish(Either.left(new Broken(false, describe(connected.cause()))));
+                finish(Either.left(new Broken(false, false, describe(connected.cause()))));
                 return;
             }
             request = connected.result();
@@ -108,18 +110,19 @@
                 return;
             }
             sent = true;
-            request.exceptionHandler(e -> finish(Either.left(new Broken(true, "connection broken: " + describe(e)))));
+            request.exceptionHandler(
+                    e -> finish(Either.left(new Broken(true, false, "connection broken: " + describe(e)))));
             Future<HttpClientResponse> response = body == null ? request.send() : request.send(body);
             response.onComplete(this::onResponse);
         }
 
         private void onResponse(AsyncResult<HttpClientResponse> answered) {
             if (answered.failed()) {
-                finish(Either.left(new Broken(true, describe(answered.cause()))));
+                finish(Either.left(new Broken(true, false, describe(answered.cause()))));
                 return;
             }
             HttpClientResponse response = answered.result();
-            response.exceptionHandler(e -> abort("answer ended early: " + describe(e)));
+            response.exceptionHandler(e -> abort(false, "answer ended early: " + describe(e)));
             response.handler(this::append);
             response.endHandler(v -> finish(Either.right(reply(response))));
         }
@@ -129,7 +132,7 @@
                 return;
             }
             if (received.length() + chunk.length() > maxBodyBytes) {
-                abort("answer exceeds " + maxBodyBytes + " bytes");
+                abort(false, "answer exceeds " + maxBodyBytes + " bytes");
                 return;
             }
             received.appendBuffer(chunk);
@@ -140,8 +143,8 @@
             return new Reply(response.statusCode(), headers, received);
         }
 
-        private void abort(String reason) {
-            finish(Either.left(new Broken(sent, reason)));
+        private void abort(boolean timedOut, String reason) {
+            finish(Either.left(new Broken(sent, timedOut, reason)));
             if (request != null) {
                 request.reset();
             }
--- a/library/src/main/java/io/radishspindle/pool/core/JobEvents.java
+++ b/library/src/main/java/io/radishspindle/pool/core/JobEvents.java
@@ -22,6 +22,11 @@
         this.actions = actions;
     }
 
+    /** The progress of the job has changed. */
+    void markDirty(JobState job) {
+        dirty.add(job);
+    }
+
     /** Marks the job as running when its first task has started. */
     void markRunning(JobState job) {
         if (job.phase == JobPhase.QUEUED) {
--- a/library/src/main/java/io/radishspindle/pool/core/JobState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/JobState.java
@@ -4,6 +4,7 @@
 import io.radishspindle.pool.model.JobProgress;
 import io.radishspindle.pool.model.JobProgress.StepProgress;
 import io.radishspindle.pool.model.PoolJob;
+import io.radishspindle.pool.model.TaskCrashes;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.List;
@@ -133,12 +134,38 @@
             }
             if (step.highestAttempt > 0) {
                 int[] pairs = failures.stream().mapToInt(Integer::intValue).toArray();
-                list.add(new StepProgress(step.occurrence, step.index, done.toLongArray(), step.highestAttempt, pairs));
+                list.add(new StepProgress(
+                        step.occurrence, step.index, done.toLongArray(), step.highestAttempt, pairs, crashes(step)));
             }
         }
         return new JobProgress(phase, endedWallMs, list);
     }
 
+    private static List<TaskCrashes> crashes(StepState step) {
+        if (!step.hasCrashRecords) {
+            return List.of();
+        }
+        return units(step).stream()
+                .filter(task -> !task.done)
+                .flatMap(task -> task.crashRecord().progress(task.name.index()).stream())
+                .toList();
+    }
+
+    /** The tasks that have a crash record of their own: the first of a gang, otherwise all. */
+    static List<TaskState> units(StepState step) {
+        return step.spec.gang() ? step.tasks.subList(0, 1) : step.tasks;
+    }
+
+    /** Applies that progress has become durable; newer progress may be unwritten. */
+    void onDurable(JobProgress progress) {
+        for (StepProgress saved : progress.steps()) {
+            StepState step = step(saved.occurrence(), saved.step());
+            for (TaskCrashes crashes : saved.crashes()) {
+                step.tasks.get(crashes.task()).crashRecord().onDurable(crashes.exposure());
+            }
+        }
+    }
+
     /** Restores the progress that an earlier owner has written. */
     void restore(JobProgress progress) {
         phase = progress.phase();
@@ -155,6 +182,10 @@
             for (int i = 0; i + 1 < saved.failures().length; i += 2) {
                 step.tasks.get(saved.failures()[i]).failedAttempts.add(saved.failures()[i + 1]);
             }
+            for (TaskCrashes crashes : saved.crashes()) {
+                step.hasCrashRecords = true;
+                step.tasks.get(crashes.task()).crashRecord().restore(crashes);
+            }
         }
     }
 }
--- a/library/src/main/java/io/radishspindle/pool/core/PlacementScore.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PlacementScore.java
@@ -45,6 +45,12 @@
         return score;
     }
 
+    /** Prefers workers on which little is lost if they crash, and others than those that have crashed before. */
+    double ofTrial(TaskState task, WorkerState worker) {
+        double score = of(task, worker) + 2 * usedShare(worker);
+        return task.crashRecord().crashedAt(worker.address()) ? score + 5 : score;
+    }
+
     private static double usedShare(WorkerState worker) {
         Resources capacity = worker.entry.capacity();
         if (capacity.accelerators() > 0) {
--- a/library/src/main/java/io/radishspindle/pool/core/Placer.java
+++ b/library/src/main/java/io/radishspindle/pool/core/Placer.java
@@ -68,6 +68,42 @@
         return best;
     }
 
+    /** Returns the worker on which the trial of a suspect does least harm, or null if none can run it now. */
+    @Nullable
+    WorkerState chooseForTrial(TaskState task) {
+        Resources need = task.step.spec.reserved();
+        WorkerState best = null;
+        double bestScore = Double.MAX_VALUE;
+        for (WorkerRoom room : rooms) {
+            if (canTry(task, room, need)) {
+                double candidate = score.ofTrial(task, room.worker);
+                if (candidate < bestScore) {
+                    best = room.worker;
+                    bestScore = candidate;
+                }
+            }
+        }
+        return best;
+    }
+
+    /** Returns whether the trial of a suspect that needs {@code amount} on a worker may start there. */
+    boolean canTry(TaskState task, WorkerRoom room, Resources amount) {
+        StepState step = task.step;
+        return room.usable
+                && room.admits(amount, ends.endOfStartMs(step))
+                && mayRun(step, room.worker, task.crashRecord())
+                && hasTicket(step, room.worker);
+    }
+
+    /** Returns the room of a worker; null if it is not part of this pass. */
+    @Nullable
+    WorkerRoom roomOf(String workerId) {
+        return rooms.stream()
+                .filter(room -> room.worker.id().equals(workerId))
+                .findFirst()
+                .orElse(null);
+    }
+
     /** Returns a worker for each task of a gang, in the order of the tasks; empty if they don't all fit. */
     List<WorkerState> chooseGang(StepState step) {
         List<WorkerState> chosen = new ArrayList<>();
@@ -100,8 +136,16 @@
         return chosen;
     }
 
-    /** Checks the rules that don't depend on free capacity: label, spread, size, health. */
+    /** Checks the rules that don't depend on free capacity: label, spread, size, health, trials. */
     boolean mayRun(StepState step, WorkerState worker) {
+        return mayRun(step, worker, step.spec.gang() ? step.tasks.get(0).crashRecord() : null);
+    }
+
+    /** @param suspect whose trial would start on the worker; null for another start */
+    private boolean mayRun(StepState step, WorkerState worker, @Nullable CrashRecord suspect) {
+        if (worker.isClosedTo(suspect)) {
+            return false;
+        }
         if (!step.spec.label().isEmpty() && !worker.entry.labels().contains(step.spec.label())) {
             return false;
         }
--- a/library/src/main/java/io/radishspindle/pool/core/PoolAction.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolAction.java
@@ -1,6 +1,7 @@
 package io.radishspindle.pool.core;
 
 import io.radishspindle.pool.model.Run;
+import io.radishspindle.pool.model.TaskName;
 import io.radishspindle.pool.model.WorkerEntry;
 import io.radishspindle.pool.port.WorkerControl.StartOrder;
 import io.radishspindle.pool.prediction.RunKind;
@@ -55,6 +56,27 @@
         }
     }
 
+    /**
+     * A worker has crashed; for the log.
+     *
+     * @param suspects runs that had not survived their start
+     * @param sole whether the crash is attributed to the only suspect
+     * @param bystanders other runs on the worker
+     * @param lostTogether addresses of workers that were lost at the same moment, which shows another cause
+     */
+    record WorkerCrashed(
+            WorkerEntry worker, List<String> suspects, boolean sole, int bystanders, List<String> lostTogether)
+            implements PoolAction {}
+
+    /** A task under which workers have crashed is started on workers that take no other starts; for the log. */
+    record TrialStarted(TaskName task, int attempt, List<String> workers, String crashes) implements PoolAction {}
+
+    /** A run of a task under which workers had crashed has survived its start; for the log. */
+    record SuspectCleared(TaskName task, String crashes) implements PoolAction {}
+
+    /** A job ends since one of its tasks crashes the workers that start it; for the log. */
+    record TaskGivenUp(TaskName task, String queue, String crashes) implements PoolAction {}
+
     /** The state of a worker has changed; for the log. */
     record WorkerChanged(String workerId, String change, String reason) implements PoolAction {}
 }
--- a/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
@@ -43,6 +43,8 @@
     private final PoolOptions options;
     private final JobEvents jobEvents;
     private final RunEvents events;
+    private final CrashAttribution attribution;
+    private final Trials trials;
     private final ProgressLedger progress;
     private final Recovery recovery;
     private final TenantOrder order;
@@ -59,7 +61,9 @@
         this.options = options;
         durations = new DurationStats(options.runTimes(), actions);
         jobEvents = new JobEvents(unfinished, dirty, actions);
-        events = new RunEvents(jobs, unfinished, jobEvents, actions, durations, this::tenantOf);
+        attribution = new CrashAttribution(workers, dirty, jobEvents, actions);
+        trials = new Trials(workers, dirty);
+        events = new RunEvents(jobs, unfinished, jobEvents, actions, durations, this::tenantOf, attribution, trials);
         progress = new ProgressLedger(jobs, workers, dirty);
         order = new TenantOrder(options.weights());
         recovery = new Recovery(workers, unfinished, options.limits());
@@ -100,6 +104,7 @@
     public void beginRecovery(long nowMs) {
         order.onLoaded(unfinished.values());
         recovery.begin(nowMs);
+        attribution.onInherited(unfinished.values(), nowMs);
     }
 
     /** Adds a new job; returns false if it is already known. */
@@ -221,10 +226,19 @@
         }
     }
 
-    /** Handles a hold, sent at {@code sentAtMs}, that got no answer or was rejected. */
-    public void onHoldFailed(String workerId, long sentAtMs) {
+    /**
+     * Handles a hold, sent at {@code sentAtMs}, that got no answer or was rejected.
+     *
+     * @param brokenOff whether the connection was closed or refused, rather than silent
+     */
+    public void onHoldFailed(String workerId, long sentAtMs, long nowMs, boolean brokenOff) {
         WorkerState worker = workers.get(workerId);
         if (worker != null) {
+            if (worker.brokenAtMs < 0) {
+                worker.brokenAtMs = nowMs;
+                worker.brokenOff = brokenOff;
+                attribution.onBroken(worker, nowMs);
+            }
             worker.lastHoldFailed = true;
             worker.failedHoldSentAtMs = sentAtMs;
         }
@@ -288,15 +302,26 @@
     public List<PoolAction> schedule(long nowMs, long wallMs, AdviceChannels channels) {
         durations.beginPass(nowMs);
         expireLeases(nowMs, wallMs);
+        attribution.judge(nowMs, wallMs);
+        trials.refresh(nowMs);
         events.stopUnwantedRuns(workers.values(), nowMs, recovery.mayLackGangMembers(nowMs));
         boolean quorum = hasQuorum(nowMs);
         recovery.reportUnseen(quorum, nowMs, wallMs);
         if (quorum) {
             ExpectedEnds ends = new ExpectedEnds(durations, nowMs);
             SchedulingPass pass = new SchedulingPass(
-                    workers.values(), actions, nowMs, channels, approvals, options.limits(), ends, preemption);
+                    workers.values(),
+                    actions,
+                    nowMs,
+                    channels,
+                    approvals,
+                    options.limits(),
+                    ends,
+                    preemption,
+                    trials,
+                    dirty);
             List<StepState> ready = readySteps(nowMs, wallMs);
-            pass.run(Ranking.rank(ready, order.behind(ready, workers.values()), wallMs), dirty);
+            pass.run(Ranking.rank(ready, order.behind(ready, workers.values()), wallMs));
             order.onPass(pass.foundNoRoom());
         }
         List<PoolAction> result = List.copyOf(actions);
--- a/library/src/main/java/io/radishspindle/pool/core/PoolTiming.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolTiming.java
@@ -35,6 +35,12 @@
     /** Horizon of the capacity forecast, in milliseconds: tickets of the queues are valid for 1.5 to 2 s. */
     public static final long FORECAST_HORIZON_MS = 1_500;
 
+    /**
+     * Time that a run has to last to show that its start doesn't crash the worker, in milliseconds; other tasks wait as
+     * long if they are started after a suspect.
+     */
+    public static final long START_PROOF_MS = 300;
+
     /** Time that a ready task waits before runs are preempted for it, in milliseconds. */
     public static final long PREEMPT_AFTER_MS = 250;
 
--- a/library/src/main/java/io/radishspindle/pool/core/ProgressLedger.java
+++ b/library/src/main/java/io/radishspindle/pool/core/ProgressLedger.java
@@ -97,8 +97,11 @@
     public void onWritten(Batch batch) {
         batch.progress().forEach((id, progress) -> {
             JobState job = jobs.get(id);
-            if (job != null && progress.phase().isFinal()) {
-                job.durablePhase = progress.phase();
+            if (job != null) {
+                job.onDurable(progress);
+                if (progress.phase().isFinal()) {
+                    job.durablePhase = progress.phase();
+                }
             }
         });
         inFlight.remove(batch.number());
--- a/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
+++ b/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
@@ -2,6 +2,7 @@
 
 import io.radishspindle.model.Resources;
 import io.radishspindle.pool.core.RunState.Phase;
+import io.radishspindle.pool.model.Run;
 import io.radishspindle.pool.model.RunEnd;
 import io.radishspindle.pool.model.TaskName;
 import io.radishspindle.pool.model.WorkerReport;
@@ -13,7 +14,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -39,6 +42,8 @@
     private final JobEvents jobEvents;
     private final List<PoolAction> actions;
     private final DurationStats durations;
+    private final CrashAttribution attribution;
+    private final Trials trials;
     private final Function<String, Optional<String>> tenantOf;
     /** Whether the ends in the current report have just happened. */
     private boolean endsAreFresh;
@@ -50,7 +55,11 @@
             JobEvents jobEvents,
             List<PoolAction> actions,
             DurationStats durations,
-            Function<String, Optional<String>> tenantOf) {
+            Function<String, Optional<String>> tenantOf,
+            CrashAttribution attribution,
+            Trials trials) {
+        this.attribution = attribution;
+        this.trials = trials;
         this.tenantOf = tenantOf;
         this.durations = durations;
         this.jobs = jobs;
@@ -61,7 +70,7 @@
 
     void onReport(WorkerState worker, long requestedAtMs, WorkerReport report, long nowMs, long wallMs) {
         if (worker.answered && report.bootWallMs() != worker.bootWallMs) {
-            onNewIncarnation(worker);
+            onNewIncarnation(worker, report, nowMs);
         }
         if (!worker.answered) {
             // The previous owner may have granted a lease just before the worker received this owner's fencing token.
@@ -72,6 +81,8 @@
         worker.answered = true;
         worker.entryAtLastAnswer = worker.entry;
         worker.lastHoldFailed = false;
+        worker.brokenAtMs = -1;
+        worker.brokenOff = false;
         worker.lastAnswerMs = nowMs;
         worker.clockMs = report.clockMs();
         worker.clockAtMs = nowMs;
@@ -86,7 +97,7 @@
         for (RunState run : List.copyOf(worker.runs.values())) {
             RunningTask running = present.remove(run.run.toString());
             if (running != null) {
-                onRunPresent(run, running, nowMs);
+                onRunPresent(run, running, requestedAtMs, nowMs);
             } else if (requestedAtMs >= run.resolvedAtMs) {
                 onRunAbsent(run, nowMs, wallMs);
             }
@@ -95,7 +106,12 @@
     }
 
     /** Runs of the earlier incarnation are missing from the report; a start just sent may belong to the new one. */
-    private void onNewIncarnation(WorkerState worker) {
+    private void onNewIncarnation(WorkerState worker, WorkerReport report, long nowMs) {
+        Set<Run> present = report.running().stream().map(RunningTask::run).collect(Collectors.toSet());
+        List<RunState> lost = worker.runs.values().stream()
+                .filter(run -> run.phase != Phase.STARTING && !present.contains(run.run))
+                .toList();
+        attribution.onLost(worker, lost, nowMs);
         actions.add(new PoolAction.WorkerChanged(worker.id(), "restarted", "reports a new start time"));
         worker.appliedSequence = 0;
         worker.durableSequence = 0;
@@ -115,6 +131,7 @@
 
     void onLeasesExpired(WorkerState worker, String reason, long nowMs, long wallMs) {
         if (!worker.runs.isEmpty()) {
+            attribution.onLost(worker, List.copyOf(worker.runs.values()), nowMs);
             actions.add(new PoolAction.WorkerChanged(worker.id(), "lost", reason));
             for (RunState run : List.copyOf(worker.runs.values())) {
                 lose(run, reason, nowMs, wallMs);
@@ -126,12 +143,22 @@
     private void lose(RunState run, String reason, long nowMs, long wallMs) {
         if (run.task != null) {
             run.task.lostRuns++;
+            if (run.task.crashRecord().isExposed(run.run.attempt())) {
+                run.task.crashRecord().endExposure();
+                jobEvents.markDirty(run.task.step.job);
+            }
             actions.add(PoolAction.RunLost.of(run, reason, nowMs));
         }
         finish(run, RunEnd.LEASE_EXPIRED, nowMs, wallMs);
     }
 
-    private void onRunPresent(RunState run, RunningTask running, long nowMs) {
+    private void onRunPresent(RunState run, RunningTask running, long requestedAtMs, long nowMs) {
+        run.onAccepted(nowMs);
+        attribution.onPresent(run);
+        if (!run.survivalReported && run.hasSurvivedStart(requestedAtMs)) {
+            run.survivalReported = true;
+            clearSuspicion(run.task);
+        }
         if (run.phase == Phase.STARTING || run.phase == Phase.UNRESOLVED) {
             run.phase = Phase.RUNNING;
             run.resolvedAtMs = nowMs;
@@ -149,6 +176,19 @@
         }
     }
 
+    private void clearSuspicion(@Nullable TaskState task) {
+        if (task == null || !task.crashRecord().isSuspect()) {
+            return;
+        }
+        List<TaskState> unit = task.step.spec.gang() ? task.step.tasks : List.of(task);
+        if (unit.stream().allMatch(member -> member.run != null && member.run.survivalReported)) {
+            actions.add(
+                    new PoolAction.SuspectCleared(task.name, task.crashRecord().describe()));
+            task.crashRecord().clear();
+            jobEvents.markDirty(task.step.job);
+        }
+    }
+
     /** Stops tasks that use no processor time although they may: their worker has a fault that health checks miss. */
     private void checkStalled(RunState run, RunningTask running, long nowMs) {
         TaskState task = run.task;
@@ -191,6 +231,7 @@
         run.charged = known == null ? Resources.NONE.atLeast(worker.free()) : known.step.spec.perTask();
         run.phase = Phase.RUNNING;
         run.resolvedAtMs = nowMs;
+        run.onAccepted(nowMs);
         worker.occupy(run);
         if (needed && task != null) {
             task.run = run;
@@ -200,6 +241,9 @@
                 JobEvents.keepCheckpoint(task, running.checkpoint());
             }
             jobEvents.markRunning(task.step.job);
+            if (task.crashRecord().isExposed(running.run().attempt())) {
+                trials.onAdopted(task, worker);
+            }
         } else {
             stop(run, nowMs, "no unfinished task for this run");
         }
@@ -218,6 +262,7 @@
 
     void onStartReply(RunState run, @Nullable Answer answer, long nowMs) {
         if (answer == Answer.ACCEPTED) {
+            run.onAccepted(nowMs);
             if (run.phase == Phase.STARTING) {
                 run.phase = Phase.RUNNING;
             }
--- a/library/src/main/java/io/radishspindle/pool/core/RunState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/RunState.java
@@ -54,6 +54,11 @@
     /** The worker has accepted a stop, which also prevents a start that arrives later. */
     boolean stopAccepted;
 
+    /** When the worker was first known to have the run; -1 before that. */
+    long acceptedAtMs = -1;
+    /** A report that was requested after the run had survived its start contained the run. */
+    boolean survivalReported;
+
     long stopSentAtMs;
     long idleSinceMs = -1;
 
@@ -83,6 +88,18 @@
         return new PoolAction.Stop(worker.entry, run, reason);
     }
 
+    /** Whether the run had survived its start by a certain time, and before the connections of its worker broke. */
+    boolean hasSurvivedStart(long atMs) {
+        long knownMs = worker.brokenAtMs < 0 ? atMs : Math.min(atMs, worker.brokenAtMs);
+        return acceptedAtMs >= 0 && knownMs - acceptedAtMs >= PoolTiming.START_PROOF_MS;
+    }
+
+    void onAccepted(long nowMs) {
+        if (acceptedAtMs < 0) {
+            acceptedAtMs = nowMs;
+        }
+    }
+
     boolean isActive() {
         return phase == Phase.STARTING || phase == Phase.RUNNING;
     }
--- a/library/src/main/java/io/radishspindle/pool/core/SchedulingPass.java
+++ b/library/src/main/java/io/radishspindle/pool/core/SchedulingPass.java
@@ -30,6 +30,9 @@
     private final CapacityForecast forecast;
     private final ApprovalRates approvals;
     private final LimitedStarts limits;
+    private final Trials trials;
+    private final TrialPlacement trialPlacement;
+    private final Set<JobState> dirty;
     private int reservingGangs;
     private int waitingGangs;
     private boolean foundNoRoom;
@@ -42,7 +45,11 @@
             ApprovalRates approvals,
             TenantLimits limits,
             ExpectedEnds ends,
-            PreemptionBudget budget) {
+            PreemptionBudget budget,
+            Trials trials,
+            Set<JobState> dirty) {
+        this.trials = trials;
+        this.dirty = dirty;
         this.limits = new LimitedStarts(limits, nowMs);
         this.actions = actions;
         this.nowMs = nowMs;
@@ -52,6 +59,7 @@
         placer = new Placer(workers, ends, nowMs);
         preemptor = new Preemptor(placer, ends, budget, nowMs);
         forecast = new CapacityForecast(placer, approvals, nowMs + PoolTiming.FORECAST_HORIZON_MS);
+        trialPlacement = new TrialPlacement(placer, trials, dirty, nowMs);
         untried = new UntriedRoom(placer, nowMs + Work.STOP_AND_RESTORE_MS);
         reservation = new GangReservation(placer, nowMs);
         budget.refill(
@@ -61,15 +69,15 @@
                 nowMs);
     }
 
-    void run(List<StepState> ranked, Set<JobState> dirty) {
+    void run(List<StepState> ranked) {
         for (StepState step : ranked) {
             if (!limits.allow(step)) {
                 continue;
             }
             if (step.spec.gang()) {
-                placeGang(step, dirty);
+                placeGang(step);
             } else {
-                placeTasks(step, dirty);
+                placeTasks(step);
             }
             int expectedStarts = limits.reserve(step);
             if (expectedStarts > 0) {
@@ -102,12 +110,17 @@
                 });
     }
 
-    private void placeTasks(StepState step, Set<JobState> dirty) {
+    private void placeTasks(StepState step) {
+        boolean heldBack = trials.holdsBack(step, nowMs);
         int waiting = 0;
         for (TaskState task : step.tasks) {
             if (!task.isWaiting() || nowMs < task.earliestStartMs) {
                 continue;
             }
+            boolean suspect = task.crashRecord().isSuspect();
+            if (heldBack && !suspect) {
+                continue;
+            }
             if (waiting > 0) {
                 waiting++;
                 continue;
@@ -115,11 +128,8 @@
             if (!limits.allow(step)) {
                 return;
             }
-            WorkerState worker = placer.choose(task);
-            if (worker == null) {
+            if (suspect ? !startTrial(task) : !start(task)) {
                 waiting = 1;
-            } else {
-                start(task, worker, task.lastAttempt + 1, task.checkpoint, dirty);
             }
         }
         // Calls for advice come before stops: they cost no work.
@@ -131,11 +141,45 @@
         }
     }
 
-    private void placeGang(StepState step, Set<JobState> dirty) {
+    /** Returns false if there was no room for the task. */
+    private boolean start(TaskState task) {
+        WorkerState worker = placer.choose(task);
+        if (worker == null) {
+            return false;
+        }
+        start(task, worker, task.lastAttempt + 1, task.checkpoint);
+        return true;
+    }
+
+    /** Starts the trial of a suspect, or of a gang by its first task, if it may; returns false if there was no room. */
+    private boolean startTrial(TaskState task) {
+        TrialPlacement.Decision decision = trialPlacement.place(task);
+        List<WorkerState> chosen = decision.workers();
+        if (!chosen.isEmpty()) {
+            CrashRecord record = task.crashRecord();
+            StepState step = task.step;
+            List<TaskState> unit = step.spec.gang() ? step.tasks : List.of(task);
+            for (int i = 0; i < chosen.size(); i++) {
+                start(unit.get(i), chosen.get(i), unit.get(i).lastAttempt, unit.get(i).checkpoint);
+            }
+            actions.add(new PoolAction.TrialStarted(
+                    task.name,
+                    task.lastAttempt,
+                    chosen.stream().map(WorkerState::id).toList(),
+                    record.describe()));
+        }
+        return !decision.lacksRoom();
+    }
+
+    private void placeGang(StepState step) {
         if (step.hasRuns() || step.tasks.stream().anyMatch(task -> nowMs < task.earliestStartMs)) {
             return;
         }
-        List<WorkerState> chosen = placer.chooseGang(step);
+        boolean suspect = step.tasks.get(0).crashRecord().isSuspect();
+        if (suspect && startTrial(step.tasks.get(0))) {
+            return;
+        }
+        List<WorkerState> chosen = suspect ? List.of() : placer.chooseGang(step);
         if (!chosen.isEmpty()) {
             int attempt = 1
                     + step.tasks.stream()
@@ -144,7 +188,7 @@
                             .orElse(0);
             String checkpoint = step.tasks.get(0).checkpoint;
             for (int i = 0; i < chosen.size(); i++) {
-                start(step.tasks.get(i), chosen.get(i), attempt, checkpoint, dirty);
+                start(step.tasks.get(i), chosen.get(i), attempt, checkpoint);
             }
             return;
         }
@@ -187,7 +231,7 @@
         plan.rooms().forEach(room -> room.hold(step.spec.reserved(), nowMs + ExpectedEnds.STOP_MS));
     }
 
-    private void start(TaskState task, WorkerState worker, int attempt, String checkpoint, Set<JobState> dirty) {
+    private void start(TaskState task, WorkerState worker, int attempt, String checkpoint) {
         StepState step = task.step;
         RunState run = new RunState(
                 new Run(task.name, attempt), worker, step.spec.reserved(), task, step.job.job.tenant(), nowMs);
--- a/library/src/main/java/io/radishspindle/pool/core/StepState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/StepState.java
@@ -36,6 +36,9 @@
     /** Whether the step had expired at the last ranking. */
     boolean expired;
 
+    /** Workers have crashed under tasks of the step. */
+    boolean hasCrashRecords;
+
     int doneTasks;
     int highestAttempt;
     long readySinceMs = -1;
--- a/library/src/main/java/io/radishspindle/pool/core/TaskState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/TaskState.java
@@ -24,6 +24,9 @@
     /** Consecutive ends of a lasting task as done or failed, for its restart backoff. */
     int consecutiveEnds;
 
+    /** Use {@link #crashRecord}, which also covers gangs. */
+    private final CrashRecord crashes = new CrashRecord();
+
     String checkpoint = "";
     long earliestStartMs;
     /** Whether a run of the task was stopped for a task of higher priority. */
@@ -40,6 +43,11 @@
         this.step = step;
     }
 
+    /** The crashes under the task, or under its gang. */
+    CrashRecord crashRecord() {
+        return step.spec.gang() ? step.tasks.get(0).crashes : crashes;
+    }
+
     boolean isWaiting() {
         return !done && run == null;
     }
--- a/library/src/main/java/io/radishspindle/pool/core/WorkerState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/WorkerState.java
@@ -2,6 +2,7 @@
 
 import io.radishspindle.model.Resources;
 import io.radishspindle.pool.model.Run;
+import io.radishspindle.pool.model.TaskCrashes.Place;
 import io.radishspindle.pool.model.WorkerEntry;
 import io.radishspindle.pool.tenant.TenantLimits;
 import java.util.LinkedHashMap;
@@ -26,6 +27,14 @@
     WorkerEntry entryAtLastAnswer;
 
     boolean lastHoldFailed;
+    /** When the first hold since the last answer failed; -1 if none has. */
+    long brokenAtMs = -1;
+    /** That hold was broken off or its connection refused, so that the worker's VM answers but the worker doesn't. */
+    boolean brokenOff;
+    /** The suspect for whose trial the worker is closed to other starts. */
+    @Nullable
+    CrashRecord trial;
+
     long lastAnswerMs;
     long clockMs;
     long clockAtMs;
@@ -50,6 +59,20 @@
         return entry.id();
     }
 
+    String address() {
+        return entry.host() + ":" + entry.port();
+    }
+
+    /** This incarnation of the worker. */
+    Place place() {
+        return new Place(id(), entry.host(), entry.port(), bootWallMs);
+    }
+
+    /** Whether nothing may be started on the worker beside the trial of another task. */
+    boolean isClosedTo(@Nullable CrashRecord record) {
+        return trial != null && trial != record;
+    }
+
     Resources free() {
         return entry.capacity().minus(used);
     }
--- a/library/src/main/java/io/radishspindle/pool/model/JobProgress.java
+++ b/library/src/main/java/io/radishspindle/pool/model/JobProgress.java
@@ -19,6 +19,13 @@
      * @param done bit set of the tasks that have succeeded
      * @param highestAttempt highest attempt number used for any task of the step
      * @param failures pairs of task index and attempt number, one for each failed run
+     * @param crashes tasks under which workers have crashed; empty in what earlier releases have written
      */
-    public record StepProgress(int occurrence, int step, long[] done, int highestAttempt, int[] failures) {}
+    public record StepProgress(
+            int occurrence, int step, long[] done, int highestAttempt, int[] failures, List<TaskCrashes> crashes) {
+        @SuppressWarnings("ConstantValue") // The decoder passes null for an absent field.
+        public StepProgress {
+            crashes = crashes == null ? List.of() : List.copyOf(crashes);
+        }
+    }
 }
--- a/library/src/main/java/io/radishspindle/pool/port/WorkerControl.java
+++ b/library/src/main/java/io/radishspindle/pool/port/WorkerControl.java
@@ -9,7 +9,8 @@
 
 /**
  * Sends orders to workers. Implementations belong to one event loop. The returned futures never fail. After a
- * failure with {@code notRun} false the outcome is unknown: the order may have been executed or may still be.
+ * failure with {@code notRun} false the outcome is unknown: the order may have been executed or may still be. The code
+ * {@code PEER_UNREACHABLE} means that the worker's VM closed or refused the connection; a silent one has another code.
  */
 public interface WorkerControl {
     /** The worker's answer to an order. */
--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolEventLog.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolEventLog.java
@@ -28,6 +28,38 @@
             onJobEnded(ended);
         } else if (action instanceof PoolAction.RunLost lost) {
             onRunLost(lost);
+        } else if (action instanceof PoolAction.WorkerCrashed crashed) {
+            onWorkerCrashed(crashed);
+        } else if (action instanceof PoolAction.TrialStarted trial) {
+            if (log.allows("task-trial")) {
+                Logger.info(
+                        "event=task-trial task={} attempt={} workers={} pool={} token={} crashes=\"{}\"",
+                        trial.task(),
+                        trial.attempt(),
+                        String.join(",", trial.workers()),
+                        pool,
+                        fencingToken,
+                        trial.crashes());
+            }
+        } else if (action instanceof PoolAction.SuspectCleared cleared) {
+            if (log.allows("task-cleared")) {
+                Logger.info(
+                        "event=task-cleared task={} pool={} crashes=\"{}\" reason=\"a run has survived its start\"",
+                        cleared.task(),
+                        pool,
+                        cleared.crashes());
+            }
+        } else if (action instanceof PoolAction.TaskGivenUp givenUp) {
+            metrics.counter("pool.tasks.given-up").inc();
+            Logger.warn(
+                    "event=task-given-up job={} task={} queue={} pool={} token={} crashes=\"{}\""
+                            + " release=\"submit the job again under a new id\"",
+                    givenUp.task().jobId(),
+                    givenUp.task(),
+                    givenUp.queue(),
+                    pool,
+                    fencingToken,
+                    givenUp.crashes());
         } else if (action instanceof PoolAction.WorkerChanged changed) {
             Logger.info(
                     "event=worker-{} worker={} pool={} reason=\"{}\"",
@@ -53,6 +85,31 @@
         }
     }
 
+    private void onWorkerCrashed(PoolAction.WorkerCrashed crashed) {
+        metrics.counter("pool.workers.crashed").inc();
+        if (log.allows("worker-crashed")) {
+            Logger.warn(
+                    "event=worker-crashed worker={} address={}:{} pool={} token={} suspects={} blame={} bystanders={}"
+                            + " lost_together={}",
+                    crashed.worker().id(),
+                    crashed.worker().host(),
+                    crashed.worker().port(),
+                    pool,
+                    fencingToken,
+                    String.join(",", crashed.suspects()),
+                    blame(crashed),
+                    crashed.bystanders(),
+                    String.join(",", crashed.lostTogether()));
+        }
+    }
+
+    private static String blame(PoolAction.WorkerCrashed crashed) {
+        if (crashed.sole()) {
+            return "sole";
+        }
+        return crashed.suspects().isEmpty() ? "none" : "shared";
+    }
+
     private void onRunLost(PoolAction.RunLost lost) {
         metrics.counter("pool.runs.lost").inc();
         if (log.allows("run-lost")) {
--- a/library/src/main/java/io/radishspindle/pool/runtime/WorkerSessions.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/WorkerSessions.java
@@ -1,5 +1,6 @@
 package io.radishspindle.pool.runtime;
 
+import io.radishspindle.error.ErrorCode;
 import io.radishspindle.error.Failure;
 import io.radishspindle.platform.Clock;
 import io.radishspindle.pool.core.PoolScheduler;
@@ -143,7 +144,8 @@
             listener.onSuperseded("worker " + id + " has seen a higher fencing token");
             return;
         }
-        scheduler.onHoldFailed(id, sentAtMs);
+        boolean silent = result.isLeft() && result.getLeft().code() != ErrorCode.PEER_UNREACHABLE;
+        scheduler.onHoldFailed(id, sentAtMs, receivedAtMs, !silent);
         if (result.isRight() && result.get().answer() == Answer.OTHER_BOOT) {
             scheduler.onWorkerReplaced(worker, clock.nowMs(), clock.wallMs());
             listener.onReport();
--- a/library/src/test/java/io/radishspindle/pool/core/PoolSimulation.java
+++ b/library/src/test/java/io/radishspindle/pool/core/PoolSimulation.java
@@ -22,6 +22,7 @@
 import io.radishspindle.pool.tenant.TenantQuotas;
 import io.radishspindle.pool.tenant.TenantWeights;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -30,6 +31,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
+import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -182,17 +184,46 @@
         if (worker.isDown) {
             return;
         }
-        worker.crash();
+        remove(worker);
         after(MIN_RESTART_MS + random.nextLong(MAX_RESTART_JITTER_MS), () -> {
             worker.isReplaced = true;
             register(worker.successor(nowMs));
         });
+    }
+
+    /** Ends a worker with all its runs for good; its address goes to another service. */
+    void removeForGood(SimWorker worker) {
+        if (worker.isDown) {
+            return;
+        }
+        remove(worker);
+        after(MIN_RESTART_MS, () -> worker.isReplaced = true);
+    }
+
+    private void remove(SimWorker worker) {
+        worker.crash();
         after(ENTRY_TTL_MS, () -> {
             workers.remove(worker.entry.id());
             scheduler.onWorkerUnregistered(worker.entry.id());
         });
     }
 
+    List<SimWorker> workersOfRack(String rack) {
+        return workers.values().stream()
+                .filter(worker -> worker.entry.rack().equals(rack))
+                .toList();
+    }
+
+    List<SimWorker> randomWorkers(int count) {
+        List<SimWorker> all = new ArrayList<>(workers.values());
+        Collections.shuffle(all, new Random(random.nextLong()));
+        return all.subList(0, Math.min(count, all.size()));
+    }
+
+    Set<String> jobIds() {
+        return storedJobs.keySet();
+    }
+
     void submit(PoolJob job) {
         storedJobs.put(job.id(), job);
         scheduler.submit(job);
@@ -205,16 +236,21 @@
 
     /** Another VM takes over the pool from the stored state; the previous owner stops. */
     void changeOwner() {
-        fencingToken++;
-        scheduler = createScheduler();
-        writesInFlight = 0;
-        inFlight.clear();
+        loseOwner();
         storedJobs.values().forEach(this::load);
         scheduler.beginRecovery(nowMs);
         workers.values().forEach(worker -> scheduler.onWorkerRegistered(worker.entry, nowMs));
         workers.keySet().forEach(id -> poll(id, scheduler, fencingToken));
     }
 
+    /** All VMs are lost; {@link #changeOwner} brings one back. */
+    void loseOwner() {
+        fencingToken++;
+        scheduler = createScheduler();
+        writesInFlight = 0;
+        inFlight.clear();
+    }
+
     private void load(PoolJob job) {
         JobProgress progress = storedProgress.get(job.id());
         if (progress != null && progress.phase().isFinal()) {
@@ -306,7 +342,7 @@
                 return;
             }
             if (worker.unreachable || worker.bootWallMs != bootWallMs) {
-                owner.onHoldFailed(id, sentAtMs);
+                owner.onHoldFailed(id, sentAtMs, nowMs, false);
                 after(PoolTiming.HOLD_RETRY_MS, () -> poll(id, owner, ownToken));
                 return;
             }
@@ -330,7 +366,7 @@
             return;
         }
         String id = worker.entry.id();
-        owner.onHoldFailed(id, sentAtMs);
+        owner.onHoldFailed(id, sentAtMs, nowMs, true);
         if (worker.isReplaced) {
             owner.onWorkerReplaced(worker.entry, nowMs, nowMs);
         }
--- a/library/src/test/java/io/radishspindle/pool/runtime/RecordsTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/RecordsTest.java
@@ -4,10 +4,17 @@
 
 import com.fasterxml.jackson.annotation.JsonFormat;
 import io.radishspindle.pool.model.JobPhase;
+import io.radishspindle.pool.model.JobProgress;
+import io.radishspindle.pool.model.JobProgress.StepProgress;
+import io.radishspindle.pool.model.TaskCrashes;
+import io.radishspindle.pool.model.TaskCrashes.Crash;
+import io.radishspindle.pool.model.TaskCrashes.Exposure;
+import io.radishspindle.pool.model.TaskCrashes.Place;
+import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 
-/** Guards against ended jobs whose stored items only one of two releases that run side by side can read. */
+/** Guards against stored jobs that only one of two releases that run side by side can read. */
 class RecordsTest {
     private static final String KEY = StoreKeys.job("desk", "j");
 
@@ -67,6 +74,50 @@
         assertThat(Records.tenantOfJob(KEY, stored)).contains("studio");
     }
 
+    /** The progress of a job as the release before crash records stores and reads it. */
+    private record EarlierProgress(JobPhase phase, long endedWallMs, List<EarlierStep> steps) {}
+
+    private record EarlierStep(int occurrence, int step, long[] done, int highestAttempt, int[] failures) {}
+
+    @Test
+    void should_read_progress_that_was_stored_without_crash_records() {
+        // given
+        EarlierStep step = new EarlierStep(0, 1, new long[] {5}, 3, new int[] {1, 2});
+        byte[] stored = Records.encode(new EarlierProgress(JobPhase.RUNNING, 0, List.of(step)));
+
+        // when
+        StepProgress read =
+                Records.decode(KEY, stored, JobProgress.class).get().steps().get(0);
+
+        // then
+        assertThat(read.crashes()).isEmpty();
+        assertThat(read.done()).containsExactly(5);
+        assertThat(read.failures()).containsExactly(1, 2);
+    }
+
+    @Test
+    void should_store_crash_records_that_an_earlier_release_skips() {
+        // given
+        Exposure exposure = new Exposure(4, List.of(new Place("w", "10.0.0.1", 80, 7)), true);
+        TaskCrashes crashes = new TaskCrashes(1, List.of(new Crash(3, "v", "10.0.0.2:80", false)), exposure);
+        StepProgress step = new StepProgress(0, 1, new long[] {5}, 4, new int[] {1, 2}, List.of(crashes));
+        byte[] stored = Records.encode(new JobProgress(JobPhase.RUNNING, 0, List.of(step)));
+
+        // then
+        assertThat(Records.decode(KEY, stored, JobProgress.class)
+                        .get()
+                        .steps()
+                        .get(0)
+                        .crashes())
+                .containsExactly(crashes);
+        assertThat(Records.decode(KEY, stored, EarlierProgress.class)
+                        .get()
+                        .steps()
+                        .get(0)
+                        .highestAttempt())
+                .isEqualTo(4);
+    }
+
     /** An unreadable item must not keep its job from being cancelled. */
     @Test
     void should_find_no_tenant_in_an_unreadable_item() {
