Blame a run alone only for a crash just after its start

Change: blame alone needs a crash within 150 ms of the start; one that comes later is shared blame, which leads to a trial and not to the end of the job.

--- a/library/src/main/java/io/radishspindle/pool/core/CrashAttribution.java
+++ b/library/src/main/java/io/radishspindle/pool/core/CrashAttribution.java
@@ -30,6 +30,8 @@
 final class CrashAttribution {
     /** Workers whose connections break within this time, in milliseconds, were lost by the same cause. */
     private static final long SAME_MOMENT_MS = 100;
+    /** Longest time from a start to the loss of its worker, in milliseconds, for which the run alone can be to blame. */
+    private static final long PROMPT_MS = 150;
     /** Other workers lost at the same moment that show a common cause; fewer suffice in the same rack. */
     private static final int COMMON_CAUSE_WORKERS = 2;
     /** Time for which a crash with another cause makes others likely, in milliseconds. */
@@ -47,7 +49,8 @@
 
     private static final int MAX_KEPT = 1_000;
 
-    private record Suspect(TaskState task, int attempt) {}
+    /** @param prompt whether the worker was lost just after it had started the run */
+    private record Suspect(TaskState task, int attempt, boolean prompt) {}
 
     /**
      * Runs that may be to blame, with a gang as one.
@@ -58,17 +61,19 @@
         /** The runs that had not survived their start at a certain time. */
         static Candidates of(List<RunState> runs, long atMs) {
             return among(
-                    runs.stream().filter(run -> !run.hasSurvivedStart(atMs)).toList());
+                    runs.stream().filter(run -> !run.hasSurvivedStart(atMs)).toList(), atMs);
         }
 
         /** Young runs that no report has shown alive after their start. */
         static Candidates unreported(List<RunState> runs, long atMs) {
-            return among(runs.stream()
-                    .filter(run -> !run.survivalReported && atMs - run.acceptedAtMs < MAX_UNREPORTED_MS)
-                    .toList());
+            return among(
+                    runs.stream()
+                            .filter(run -> !run.survivalReported && atMs - run.acceptedAtMs < MAX_UNREPORTED_MS)
+                            .toList(),
+                    atMs);
         }
 
-        private static Candidates among(List<RunState> runs) {
+        private static Candidates among(List<RunState> runs, long atMs) {
             List<Suspect> suspects = new ArrayList<>();
             Set<CrashRecord> records = new HashSet<>();
             boolean hasUnknown = false;
@@ -77,14 +82,15 @@
                 if (task == null) {
                     hasUnknown = true;
                 } else if (records.add(task.crashRecord())) {
-                    suspects.add(new Suspect(task, run.run.attempt()));
+                    boolean prompt = run.acceptedAtMs < 0 || atMs - run.acceptedAtMs <= PROMPT_MS;
+                    suspects.add(new Suspect(task, run.run.attempt(), prompt));
                 }
             }
             return new Candidates(suspects, hasUnknown);
         }
 
-        boolean isSingle() {
-            return suspects.size() == 1 && !hasUnknown;
+        boolean isSole() {
+            return suspects.size() == 1 && !hasUnknown && suspects.get(0).prompt();
         }
     }
 
@@ -131,7 +137,7 @@
     void onBroken(WorkerState worker, long nowMs) {
         Candidates candidates = Candidates.of(List.copyOf(worker.runs.values()), nowMs);
         if (worker.brokenOff && !worker.entry.draining()) {
-            candidates.suspects().forEach(suspect -> expose(suspect, worker, candidates.isSingle()));
+            candidates.suspects().forEach(suspect -> expose(suspect, worker, candidates.isSole()));
         }
         Set<StepState> steps = candidates.suspects().stream()
                 .map(suspect -> suspect.task().step)
@@ -206,7 +212,7 @@
                             task.crashRecord().awaitOutcome(nowMs + INHERITED_EXPOSURE_MS);
                             for (Place place : exposure.places()) {
                                 suspects.computeIfAbsent(place, ignored -> new ArrayList<>())
-                                        .add(new Suspect(task, exposure.attempt()));
+                                        .add(new Suspect(task, exposure.attempt(), exposure.alone()));
                                 if (exposure.alone()) {
                                     sole.add(place);
                                 }
@@ -281,7 +287,7 @@
             return nowMs > open.expiresMs();
         }
         TaskState task = remaining.get(0).task();
-        if (open.isClosed() && task.step.job.isUnfinished()) {
+        if (open.isClosed() && remaining.get(0).prompt() && task.step.job.isUnfinished()) {
             task.crashRecord().onOthersCleared(remaining.get(0).attempt());
             dirty.add(task.step.job);
             giveUpIfGuilty(task, nowMs, wallMs);
@@ -315,7 +321,8 @@
         List<String> lostTogether = lostTogether(loss);
         boolean common = !lostTogether.isEmpty();
         boolean closed = loss.conclusive() && !common;
-        boolean sole = closed && loss.suspects().size() == 1;
+        boolean sole =
+                closed && loss.suspects().size() == 1 && loss.suspects().get(0).prompt();
         if (common || loss.suspects().isEmpty()) {
             lastOtherCauseMs = nowMs;
         }
