Try more suspects at once while most of the pool is idle

Cause: prime suspects had a tenth of the workers for their trials whatever the load, 2 of 24, and each trial takes its worker down for 3.3 s. Change: while less than half of the pool is in use, suspects may use half of the workers and prime suspects a third.

--- a/library/src/main/java/io/radishspindle/pool/core/Trials.java
+++ b/library/src/main/java/io/radishspindle/pool/core/Trials.java
@@ -1,5 +1,6 @@
 package io.radishspindle.pool.core;
 
+import io.radishspindle.model.Resources;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
@@ -20,6 +21,9 @@
     /** As above, for the trials of tasks that alone can be to blame for some crash. */
     private static final int PRIME_SUSPECTS_DIVISOR = 10;
 
+    /** As for suspects, while most of the pool is idle. */
+    private static final int IDLE_SUSPECTS_DIVISOR = 2;
+
     private static final int MIN_SLOTS = 2;
 
     private final Map<String, WorkerState> workers;
@@ -128,17 +132,17 @@
 
     /** Whether the workers that trials put at risk, or have taken down, leave enough others. */
     private boolean hasSlot(CrashRecord suspect, long nowMs) {
+        boolean idle = isMostlyIdle(nowMs);
         List<TaskState> undecided = open.stream()
                 .filter(task -> !unit(task).stream().allMatch(member -> survived(member, nowMs)))
                 .toList();
-        if (undecided.size() >= slots(SUSPECTS_DIVISOR)) {
+        if (undecided.size() >= slots(idle ? IDLE_SUSPECTS_DIVISOR : SUSPECTS_DIVISOR)) {
             return false;
         }
-        return !suspect.isPrimeSuspect()
-                || undecided.stream()
-                                .filter(task -> task.crashRecord().isPrimeSuspect())
-                                .count()
-                        < slots(PRIME_SUSPECTS_DIVISOR);
+        long prime = undecided.stream()
+                .filter(task -> task.crashRecord().isPrimeSuspect())
+                .count();
+        return !suspect.isPrimeSuspect() || prime < slots(idle ? SUSPECTS_DIVISOR : PRIME_SUSPECTS_DIVISOR);
     }
 
     private long slots(int divisor) {
@@ -146,6 +150,19 @@
         return Math.max(MIN_SLOTS, listed / divisor);
     }
 
+    /** Whether less than half of what the usable workers have is in use, so that trials harm few others. */
+    private boolean isMostlyIdle(long nowMs) {
+        Resources used = Resources.NONE;
+        Resources capacity = Resources.NONE;
+        for (WorkerState worker : workers.values()) {
+            if (worker.isUsable(nowMs)) {
+                used = used.plus(worker.used);
+                capacity = capacity.plus(worker.entry.capacity());
+            }
+        }
+        return used.times(2).fitsIn(capacity);
+    }
+
     private static boolean survived(TaskState task, long nowMs) {
         return task.run != null && task.run.hasSurvivedStart(nowMs);
     }
