Measure from the order when a start was never answered

Cause: a run whose start got no answer counted as just started however old the order was, so that a worker that was lost much later could be blamed on it alone. Change: without an answer, the time of the order counts; an older one is shared blame. The map of crashes is created with the first crash, as every task has a record. Found by reading.

--- a/library/src/main/java/io/radishspindle/pool/core/CrashAttribution.java
+++ b/library/src/main/java/io/radishspindle/pool/core/CrashAttribution.java
@@ -82,8 +82,9 @@
                 if (task == null) {
                     hasUnknown = true;
                 } else if (records.add(task.crashRecord())) {
-                    boolean prompt = run.acceptedAtMs < 0 || atMs - run.acceptedAtMs <= PROMPT_MS;
-                    suspects.add(new Suspect(task, run.run.attempt(), prompt));
+                    // A start without an answer may never have been executed, or late.
+                    long startedAtMs = run.acceptedAtMs < 0 ? run.sentAtMs : run.acceptedAtMs;
+                    suspects.add(new Suspect(task, run.run.attempt(), atMs - startedAtMs <= PROMPT_MS));
                 }
             }
             return new Candidates(suspects, hasUnknown);
@@ -201,7 +202,6 @@
     /** Loaded jobs may have runs of which an earlier owner has not written whether they crashed their workers. */
     void onInherited(Collection<JobState> jobs, long nowMs) {
         Map<Place, List<Suspect>> suspects = new LinkedHashMap<>();
-        Set<Place> sole = new HashSet<>();
         jobs.stream()
                 .flatMap(job -> job.steps.stream())
                 .filter(step -> step.hasCrashRecords)
@@ -213,9 +213,6 @@
                             for (Place place : exposure.places()) {
                                 suspects.computeIfAbsent(place, ignored -> new ArrayList<>())
                                         .add(new Suspect(task, exposure.attempt(), exposure.alone()));
-                                if (exposure.alone()) {
-                                    sole.add(place);
-                                }
                             }
                         }
                     }
@@ -233,7 +230,7 @@
                     place.bootWallMs(),
                     Resources.NONE,
                     List.of());
-            boolean conclusive = sole.contains(place) && runs.size() == 1;
+            boolean conclusive = runs.size() == 1 && runs.get(0).prompt();
             long expiresMs = nowMs + INHERITED_EXPOSURE_MS;
             unproven.add(new Loss(worker, place.bootWallMs(), INHERITED, conclusive, runs, 0, expiresMs));
         });
--- a/library/src/main/java/io/radishspindle/pool/core/CrashRecord.java
+++ b/library/src/main/java/io/radishspindle/pool/core/CrashRecord.java
@@ -30,7 +30,9 @@
     /** Time for which a trial of a task that may be innocent waits for the store, in milliseconds. */
     private static final long MAX_WRITE_WAIT_MS = 1_000;
 
-    private final Map<Integer, Crash> byAttempt = new TreeMap<>();
+    /** Few tasks have crashes, so that the map is created with the first one. */
+    private Map<Integer, Crash> byAttempt = Map.of();
+
     private @Nullable Exposure exposure;
     private boolean durable;
     private boolean started;
@@ -65,8 +67,10 @@
 
     /** All other runs that could be to blame for a crash have turned out to be innocent. */
     void onOthersCleared(int attempt) {
-        byAttempt.computeIfPresent(
-                attempt, (key, crash) -> new Crash(crash.attempt(), crash.worker(), crash.address(), true));
+        Crash crash = byAttempt.get(attempt);
+        if (crash != null) {
+            byAttempt.put(attempt, new Crash(attempt, crash.worker(), crash.address(), true));
+        }
     }
 
     /** Adds a crash; returns whether the record has changed. Evidence against the task alone is never weakened. */
@@ -75,13 +79,16 @@
         if (known != null && (known.sole() || !crash.sole())) {
             return false;
         }
+        if (known == null) {
+            byAttempt = new TreeMap<>(byAttempt);
+        }
         byAttempt.put(crash.attempt(), crash);
         return true;
     }
 
     /** Forgets all crashes: a run of the task has survived its start. */
     void clear() {
-        byAttempt.clear();
+        byAttempt = Map.of();
         endExposure();
     }
 
