--- a/library/src/main/java/io/radishspindle/pool/core/CrashAttribution.java
+++ b/library/src/main/java/io/radishspindle/pool/core/CrashAttribution.java
@@ -1,6 +1,7 @@
 package io.radishspindle.pool.core;
 
 import io.radishspindle.model.Resources;
+import io.radishspindle.pool.core.CrashSuspects.Suspect;
 import io.radishspindle.pool.model.JobPhase;
 import io.radishspindle.pool.model.TaskCrashes.Crash;
 import io.radishspindle.pool.model.TaskCrashes.Exposure;
@@ -10,7 +11,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Deque;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -30,8 +30,6 @@
 final class CrashAttribution {
     /** Workers whose connections break within this time, in milliseconds, were lost by the same cause. */
     private static final long SAME_MOMENT_MS = 100;
-    /** Longest time from a start to the loss of its worker, in milliseconds, for which the run alone can be to blame. */
-    private static final long PROMPT_MS = 150;
     /** Other workers lost at the same moment that show a common cause; fewer suffice in the same rack. */
     private static final int COMMON_CAUSE_WORKERS = 2;
     /** Time for which a crash with another cause makes others likely, in milliseconds. */
@@ -44,57 +42,8 @@
     /** Time of a loss under an earlier owner, which is unknown. */
     private static final long INHERITED = Long.MIN_VALUE;
 
-    /** Highest age of a run to blame that no report has shown alive, if the others were all shown alive. */
-    private static final long MAX_UNREPORTED_MS = 2_000;
-
     private static final int MAX_KEPT = 1_000;
 
-    /** @param prompt whether the worker was lost just after it had started the run */
-    private record Suspect(TaskState task, int attempt, boolean prompt) {}
-
-    /**
-     * Runs that may be to blame, with a gang as one.
-     *
-     * @param hasUnknown whether there are others, of tasks that are not needed any more
-     */
-    private record Candidates(List<Suspect> suspects, boolean hasUnknown) {
-        /** The runs that had not survived their start at a certain time. */
-        static Candidates of(List<RunState> runs, long atMs) {
-            return among(
-                    runs.stream().filter(run -> !run.hasSurvivedStart(atMs)).toList(), atMs);
-        }
-
-        /** Young runs that no report has shown alive after their start. */
-        static Candidates unreported(List<RunState> runs, long atMs) {
-            return among(
-                    runs.stream()
-                            .filter(run -> !run.survivalReported && atMs - run.acceptedAtMs < MAX_UNREPORTED_MS)
-                            .toList(),
-                    atMs);
-        }
-
-        private static Candidates among(List<RunState> runs, long atMs) {
-            List<Suspect> suspects = new ArrayList<>();
-            Set<CrashRecord> records = new HashSet<>();
-            boolean hasUnknown = false;
-            for (RunState run : runs) {
-                TaskState task = run.task;
-                if (task == null) {
-                    hasUnknown = true;
-                } else if (records.add(task.crashRecord())) {
-                    // A start without an answer may never have been executed, or late.
-                    long startedAtMs = run.acceptedAtMs < 0 ? run.sentAtMs : run.acceptedAtMs;
-                    suspects.add(new Suspect(task, run.run.attempt(), atMs - startedAtMs <= PROMPT_MS));
-                }
-            }
-            return new Candidates(suspects, hasUnknown);
-        }
-
-        boolean isSole() {
-            return suspects.size() == 1 && !hasUnknown && suspects.get(0).prompt();
-        }
-    }
-
     /** A worker that was lost, with the runs that may be to blame. */
     private record Loss(
             WorkerEntry worker,
@@ -136,7 +85,7 @@
 
     /** The first hold since the last answer of a worker has failed. */
     void onBroken(WorkerState worker, long nowMs) {
-        Candidates candidates = Candidates.of(List.copyOf(worker.runs.values()), nowMs);
+        CrashSuspects candidates = CrashSuspects.of(List.copyOf(worker.runs.values()), nowMs);
         if (worker.brokenOff && !worker.entry.draining()) {
             candidates.suspects().forEach(suspect -> expose(suspect, worker, candidates.isSole()));
         }
@@ -178,11 +127,11 @@
             return;
         }
         long atMs = worker.brokenAtMs >= 0 ? worker.brokenAtMs : nowMs;
-        Candidates candidates = Candidates.of(runs, atMs);
+        CrashSuspects candidates = CrashSuspects.of(runs, atMs);
         boolean conclusive = worker.brokenOff && !candidates.hasUnknown();
         if (candidates.suspects().isEmpty() && !candidates.hasUnknown()) {
             // An owner that is short of processor time notices a crash late, so that the run seems older.
-            candidates = Candidates.unreported(runs, atMs);
+            candidates = CrashSuspects.unreported(runs, atMs);
             conclusive = false;
         }
         List<Suspect> suspects = candidates.suspects();
