--- a/library/src/main/java/io/radishspindle/pool/core/CrashSuspects.java
+++ b/library/src/main/java/io/radishspindle/pool/core/CrashSuspects.java
@@ -11,7 +11,7 @@
  * @param hasUnknown whether there are others, of tasks that are not needed any more
  */
 record CrashSuspects(List<Suspect> suspects, boolean hasUnknown) {
-    /** Longest time from a start to the loss of its worker, in milliseconds, for which the run alone can be to blame. */
+    /** Longest time from a start to the loss of its worker, in ms, for which the run alone can be to blame. */
     private static final long PROMPT_MS = 150;
     /** Highest age of a run to blame that no report has shown alive, if the others were all shown alive. */
     private static final long MAX_UNREPORTED_MS = 2_000;
--- a/library/src/test/java/io/radishspindle/pool/core/PoolSimulation.java
+++ b/library/src/test/java/io/radishspindle/pool/core/PoolSimulation.java
@@ -245,8 +245,9 @@
         storedJobs.values().forEach(this::load);
         scheduler.beginRecovery(nowMs);
         // Another VM may know an older version of an entry.
-        workers.values().forEach(worker -> scheduler.onWorkerRegistered(
-                knownEntries.getOrDefault(worker.entry.id(), worker.entry), nowMs));
+        workers.values()
+                .forEach(worker -> scheduler.onWorkerRegistered(
+                        knownEntries.getOrDefault(worker.entry.id(), worker.entry), nowMs));
         workers.keySet().forEach(id -> poll(id, scheduler, fencingToken));
     }
 
--- a/library/src/test/java/io/radishspindle/pool/core/SimWorker.java
+++ b/library/src/test/java/io/radishspindle/pool/core/SimWorker.java
@@ -203,8 +203,8 @@
         }
         Resources capacity = capacityToKeep(nowMs);
         if (!sum.fitsIn(capacity)) {
-            history.violation(nowMs + " worker " + entry.id() + " holds " + sum + " of " + capacity + ": "
-                    + running.keySet());
+            history.violation(
+                    nowMs + " worker " + entry.id() + " holds " + sum + " of " + capacity + ": " + running.keySet());
         }
     }
 
--- a/library/src/test/java/io/radishspindle/pool/core/WorkerFaultsTest.java
+++ b/library/src/test/java/io/radishspindle/pool/core/WorkerFaultsTest.java
@@ -13,9 +13,9 @@
 import org.junit.jupiter.params.provider.MethodSource;
 
 /**
- * Guards against starts beyond a capacity that has shrunk, tasks that are started again after three workers have crashed
- * under them, and sound jobs that are given up, under random faults: workers that crash by tasks, alone or by the rack,
- * shrink, grow, are cut off or replaced, and changes of the owner and outages of the store.
+ * Guards against starts beyond a capacity that has shrunk, tasks that are started again after three workers have
+ * crashed under them, and sound jobs that are given up, under random faults: workers that crash by tasks, alone or by
+ * the rack, shrink, grow, are cut off or replaced, and changes of the owner and outages of the store.
  */
 class WorkerFaultsTest {
     private static final Resources CAPACITY = new Resources(16_000, 32_000, 8);
