--- /dev/null
+++ b/review/harness/Runs.java
@@ -0,0 +1,86 @@
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Sees all runs and checks TWICE and LIMIT on them. Thread-safe. */
+final class Runs implements Executor.Observer {
+    private final Recorder record;
+    private final long workMs;
+    private final int taskCpu;
+    private final Map<String, Set<Executor>> active = new HashMap<>();
+    private final Set<String> done = new HashSet<>();
+    private final List<String> twice = new ArrayList<>();
+    private final List<String> overfull = new ArrayList<>();
+    private int started;
+
+    /** @param taskCpu what every task requests */
+    Runs(Recorder record, long workMs, int taskCpu) {
+        this.record = record;
+        this.workMs = workMs;
+        this.taskCpu = taskCpu;
+    }
+
+    @Override
+    public long workMs(String task) {
+        return workMs;
+    }
+
+    @Override
+    public synchronized void onStart(Executor executor, String task, int attempt) {
+        started++;
+        Set<Executor> others = active.computeIfAbsent(task, ignored -> new HashSet<>());
+        others.removeIf(other -> !other.isUp());
+        others.forEach(other -> {
+            twice.add(task);
+            record.add("check", "TWICE " + task + " attempt " + attempt + " starts on " + executor.id
+                    + " while it runs on " + other.id);
+        });
+        if (done.contains(task)) {
+            twice.add(task);
+            record.add("check", "TWICE " + task + " attempt " + attempt + " starts on " + executor.id
+                    + " after it had ended done");
+        }
+        others.add(executor);
+        long used = active.values().stream().filter(set -> set.contains(executor)).count() * taskCpu;
+        if (used > executor.cpu()) {
+            overfull.add(executor.id);
+            record.add("check", "LIMIT " + executor.id + " has runs of cpu=" + used + " with a capacity of "
+                    + executor.cpu());
+        }
+    }
+
+    @Override
+    public synchronized void onEnd(Executor executor, String task, int attempt, String how) {
+        Set<Executor> others = active.get(task);
+        if (others != null) {
+            others.remove(executor);
+        }
+        if (how.equals("done")) {
+            done.add(task);
+        }
+    }
+
+    /** The executor has lost all that ran on it. */
+    synchronized void onCrash(Executor executor) {
+        active.values().forEach(set -> set.remove(executor));
+    }
+
+    synchronized int started() {
+        return started;
+    }
+
+    synchronized int doneTasks() {
+        return done.size();
+    }
+
+    synchronized List<String> twice() {
+        return List.copyOf(twice);
+    }
+
+    synchronized List<String> overfull() {
+        return List.copyOf(overfull);
+    }
+}
