--- a/review/harness/Setup.java
+++ b/review/harness/Setup.java
@@ -43,9 +43,15 @@
 
     /** Writes a configuration with one queue. */
     void configure() {
-        Map<String, Object> route = Json.map(
-                "name", "queue", "host", HOST, "prefix", PREFIX, "kind", "non_idempotent", "timeout_ms", 3_000,
-                "slo_ms", 3_000, "priority", 1, "service", SERVICE, "max_attempts", 3, "slowdown_factor", 2.0);
+        configure(PREFIX);
+    }
+
+    /** Writes a configuration with a queue for each prefix. */
+    void configure(String... prefixes) {
+        List<Object> routes = new ArrayList<>();
+        for (String prefix : prefixes) {
+            routes.add(route(prefix));
+        }
         Map<String, Object> service = Json.map(
                 "name", SERVICE, "health_path", "/health", "max_conns", 64, "protocol", "h1", "tls", false,
                 "rejects_overload", false, "standby", false);
@@ -55,11 +61,17 @@
         store.putAsOperator(
                 "op/config",
                 Json.map(
-                        "version", version, "routes", List.of(route), "services", List.of(service), "limits", limits));
+                        "version", version, "routes", routes, "services", List.of(service), "limits", limits));
         record.add("operator", "writes configuration " + version);
         version++;
     }
 
+    private static Map<String, Object> route(String prefix) {
+        return Json.map(
+                "name", "queue" + prefix, "host", HOST, "prefix", prefix, "kind", "non_idempotent", "timeout_ms", 3_000,
+                "slo_ms", 3_000, "priority", 1, "service", SERVICE, "max_attempts", 3, "slowdown_factor", 2.0);
+    }
+
     /** Adds executors whose heartbeats are spread over the interval. */
     void addExecutors(int count, int cpu, Executor.Observer observer) throws IOException {
         for (int i = 0; i < count; i++) {
@@ -73,6 +85,11 @@
         for (int i = 0; i < count; i++) {
             machines.add(new Daemon(record, directory, "front-" + i, store.port()));
         }
+        startMachines();
+    }
+
+    /** Starts the machines that were added. */
+    void startMachines() throws IOException, InterruptedException {
         for (Daemon machine : machines) {
             machine.start();
         }
