--- a/review/harness/Store.java
+++ b/review/harness/Store.java
@@ -68,6 +68,12 @@
         put(key, encode(value), 0);
     }
 
+    /** Writes a key as another writer than the system, the operator and the executors of this deployment. */
+    synchronized void putAsOther(String key, Object value) {
+        put(key, encode(value), 0);
+        record.add("store", "entry of another writer " + key + " " + Json.write(value));
+    }
+
     /** A heartbeat of an executor; false if the store is down. The item changes only if the entry does. */
     synchronized boolean beat(String id, Map<String, Object> entry) {
         if (down) {
