--- a/review/harness/Executor.java
+++ b/review/harness/Executor.java
@@ -15,6 +15,9 @@
         /** Time that a run takes; it ends as done. */
         long workMs(String task);
 
+        /** Figure for the last half second: processor use, or the tail of response times in milliseconds. */
+        long gauge(String task);
+
         void onStart(Executor executor, String task, int attempt);
 
         void onEnd(Executor executor, String task, int attempt, String how);
@@ -266,7 +269,7 @@
             return null;
         }
         List<Object> active = new ArrayList<>();
-        running.forEach((task, run) -> active.add(List.of(task, run.attempt, "", 100, 1_000)));
+        running.forEach((task, run) -> active.add(List.of(task, run.attempt, "", 100, observer.gauge(task))));
         List<Object> ends = new ArrayList<>(finished.values());
         return answer(200, Json.map("born", bornWallMs, "running", active, "finished", ends));
     }
--- a/review/harness/Runs.java
+++ b/review/harness/Runs.java
@@ -6,7 +6,7 @@
 import java.util.Set;
 
 /** Sees all runs and checks TWICE and LIMIT on them. Thread-safe. */
-final class Runs implements Executor.Observer {
+class Runs implements Executor.Observer {
     private final Recorder record;
     private final long workMs;
     private final int taskCpu;
@@ -28,6 +28,11 @@
         return workMs;
     }
 
+    @Override
+    public long gauge(String task) {
+        return taskCpu / 4;
+    }
+
     @Override
     public synchronized void onStart(Executor executor, String task, int attempt) {
         started++;
@@ -72,6 +77,11 @@
         return started;
     }
 
+    /** Whether a task of the job has been started. */
+    synchronized boolean hasStarted(String job) {
+        return active.keySet().stream().anyMatch(task -> task.startsWith(job + "."));
+    }
+
     synchronized int doneTasks() {
         return done.size();
     }
--- a/review/harness/Setup.java
+++ b/review/harness/Setup.java
@@ -120,8 +120,11 @@
 
     /** Hands a job with one step of equal tasks in. */
     void submit(Daemon machine, String id, int tasks, int cpu, long estimateMs) {
-        Map<String, Object> step =
-                Json.map("count", tasks, "cpu", cpu, "mem_mb", 256, "estimate_ms", estimateMs);
+        submit(machine, id, Json.map("count", tasks, "cpu", cpu, "mem_mb", 256, "estimate_ms", estimateMs));
+    }
+
+    /** Hands a job with one step in. */
+    void submit(Daemon machine, String id, Map<String, Object> step) {
         Http.Response response =
                 call(machine, "POST", id, Json.write(Json.map("spec", "spec of " + id, "phases", List.of(step))));
         if (response.status() != 200) {
