--- a/review/harness/Daemon.java
+++ b/review/harness/Daemon.java
@@ -92,6 +92,12 @@
         record.add(name, "is killed");
     }
 
+    /** Sends a signal, for example STOP or CONT. */
+    void signal(String signal) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + signal, "" + process.pid()).start().waitFor();
+        record.add(name, "gets SIG" + signal);
+    }
+
     boolean isReady() {
         return Http.call(ready, "GET", "/radishspindle/readiness", Map.of("Host", Http.HOST), "", 1_000).status() == 200;
     }
--- a/review/harness/Executor.java
+++ b/review/harness/Executor.java
@@ -40,6 +40,7 @@
     private final long beatMs;
     private final String rack;
     private int cpu;
+    private String kind;
     private Http.Server server;
     private int port;
     private boolean up;
@@ -70,13 +71,14 @@
         this.service = service;
         this.rack = rack;
         this.beatMs = beatMs;
-        boot(cpu, firstBeatMs);
+        boot(cpu, "a", firstBeatMs);
         Http.daemon(this::watchRuns);
     }
 
     /** Starts a new life at the same address and under the same id; nothing of before is known. */
-    synchronized void boot(int capacity, long firstBeatMs) throws IOException {
+    synchronized void boot(int capacity, String newKind, long firstBeatMs) throws IOException {
         cpu = capacity;
+        kind = newKind;
         bornWallMs = System.currentTimeMillis();
         bornMs = record.nowMs();
         leaseEndsMs = 0;
@@ -88,26 +90,33 @@
         server = new Http.Server(port, this::handle);
         port = server.port();
         up = true;
-        record.add(id, "boots with cpu=" + cpu);
+        record.add(id, "boots with cpu=" + cpu + " kind=" + kind);
         long life = bornMs;
         Http.daemon(() -> beat(life, firstBeatMs));
     }
 
-    /** Dies at once: its connections are reset and everything that runs ends. */
-    void crash() {
+    /** Dies at once: its connections are reset and everything that runs ends; returns how much ran. */
+    int crash() {
+        int lost;
         synchronized (this) {
             up = false;
+            lost = running.size();
             running.clear();
             notifyAll();
-            record.add(id, "crashes");
+            record.add(id, "crashes with " + lost + " runs");
         }
         server.stop();
+        return lost;
     }
 
     synchronized int cpu() {
         return cpu;
     }
 
+    synchronized String kind() {
+        return kind;
+    }
+
     synchronized boolean isUp() {
         return up;
     }
@@ -139,7 +148,7 @@
                 "state", "ready",
                 "cold_left_ms", 0,
                 "capacity", Json.map("cpu", cpu, "mem_mb", 32_768, "gpus", 0),
-                "labels", List.of("a", rack),
+                "labels", List.of(kind, rack),
                 "born", bornWallMs);
     }
 
--- a/review/harness/Runs.java
+++ b/review/harness/Runs.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 
-/** Sees all runs and checks TWICE and LIMIT on them. Thread-safe. */
+/** Sees all runs and checks TWICE and LIMIT, and ROUTE if all tasks need one kind of executor. Thread-safe. */
 class Runs implements Executor.Observer {
     private final Recorder record;
     private final long workMs;
@@ -14,6 +14,8 @@
     private final Set<String> done = new HashSet<>();
     private final List<String> twice = new ArrayList<>();
     private final List<String> overfull = new ArrayList<>();
+    private final List<String> otherKind = new ArrayList<>();
+    private String neededKind = "";
     private int started;
 
     /** @param taskCpu what every task requests */
@@ -23,6 +25,11 @@
         this.taskCpu = taskCpu;
     }
 
+    /** All tasks have this label in their constraints. */
+    synchronized void needKind(String kind) {
+        neededKind = kind;
+    }
+
     @Override
     public long workMs(String task) {
         return workMs;
@@ -48,6 +55,11 @@
             record.add("check", "TWICE " + task + " attempt " + attempt + " starts on " + executor.id
                     + " after it had ended done");
         }
+        if (!neededKind.isEmpty() && !executor.kind().equals(neededKind)) {
+            otherKind.add(executor.id);
+            record.add("check", "ROUTE " + task + " needs the label " + neededKind + " and starts on " + executor.id
+                    + " of kind " + executor.kind());
+        }
         others.add(executor);
         long used = active.values().stream().filter(set -> set.contains(executor)).count() * taskCpu;
         if (used > executor.cpu()) {
@@ -90,6 +102,10 @@
         return List.copyOf(twice);
     }
 
+    synchronized List<String> otherKind() {
+        return List.copyOf(otherKind);
+    }
+
     synchronized List<String> overfull() {
         return List.copyOf(overfull);
     }
