--- a/review/harness/Http.java
+++ b/review/harness/Http.java
@@ -26,8 +26,24 @@
         Response handle(Request request) throws InterruptedException;
     }
 
+    private static int next = 20_000 + (int) (ProcessHandle.current().pid() * 97 % 11_000);
+
     private Http() {}
 
+    /** A free port below those that the operating system gives to outgoing connections. */
+    static synchronized int freePort() throws IOException {
+        while (true) {
+            int port = next++;
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(HOST))) {
+                return socket.getLocalPort();
+            } catch (IOException e) {
+                if (next > 32_000) {
+                    throw e;
+                }
+            }
+        }
+    }
+
     /** A server that can be stopped like a process that dies: its connections are reset. */
     static final class Server {
         private final Handler handler;
--- a/review/harness/Setup.java
+++ b/review/harness/Setup.java
@@ -9,7 +9,7 @@
 /** A small deployment on loopback addresses: the store, executors of one service, and machines of the system. */
 final class Setup {
     static final String HOST = "orders.example";
-    static final String PREFIX = "/work/";
+    static final String PREFIX = "/jobs/";
     static final String SERVICE = "desk";
     static final long BEAT_MS = 1_500;
     /** Three heartbeat intervals of silence. */
@@ -27,6 +27,12 @@
         record = new Recorder(recordFile);
         directory = Files.createTempDirectory("review");
         store = new Store(record, ENTRY_MS);
+        Thread.setDefaultUncaughtExceptionHandler((thread, e) -> {
+            record.add("case", "could not run: " + e);
+            System.out.println("could not run: " + e);
+            Daemon.endAll();
+            Runtime.getRuntime().halt(2);
+        });
         Runtime.getRuntime().addShutdownHook(new Thread(Daemon::endAll));
         Http.daemon(() -> {
             try {
