Record the workers of a pool in the store, and count them instead of the registered ones

Callers saw tasks run twice: after a store outage of 4.5 s in which entries of workers expired, the next owner started again what was running or had ended on workers whose entries were not back yet.

Cause: recovery ended as soon as all workers that were registered at that moment had reported, and the majority was taken over the same set. After an outage that set is any part of the pool: entries return within 2 s, and a VM that takes over has never seen the missing ones. Two owners could also each have a majority of what they saw.

Change: an owner records each worker that has answered it, in writes that are conditional on its claim and on the state of the record, and starts runs on recorded workers only. The next owner reads the records after its claim, asks all recorded workers at their addresses whether they are registered or not, and starts loaded tasks once each of them has reported, another worker has its address, or the leases have expired since a majority answered. The majority is taken over the records; while workers are being added, with and without them. Without records, as after an older release, loaded tasks wait for the leases. Recovery no longer ends by time alone while no majority answers.

--- a/library/src/main/java/io/radishspindle/pool/core/PoolOptions.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolOptions.java
@@ -11,8 +11,14 @@
  * @param limits limits on what each tenant may have running
  * @param runTimes prediction of run times
  * @param weights weights of the tenants, which decide their order
+ * @param roster workers on which runs may be started, and on which earlier owners may have started some
  */
-public record PoolOptions(TenantLimits limits, RunTimePredictor runTimes, TenantWeights weights) {
+public record PoolOptions(TenantLimits limits, RunTimePredictor runTimes, TenantWeights weights, WorkerRoster roster) {
+    /** Options of a pool whose workers can't be missing from the store. */
+    public PoolOptions(TenantLimits limits, RunTimePredictor runTimes, TenantWeights weights) {
+        this(limits, runTimes, weights, WorkerRoster.ALL);
+    }
+
     /** Options without weights of tenants. */
     public PoolOptions(TenantLimits limits, RunTimePredictor runTimes) {
         this(limits, runTimes, TenantWeights.NONE);
--- a/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
@@ -47,6 +47,7 @@
     private final Trials trials;
     private final ProgressLedger progress;
     private final Recovery recovery;
+    private final Quorum quorum;
     private final TenantOrder order;
     /** Answers to holds that were sent before this time don't prove that the owner still owns the pool. */
     private long trustedFromMs = Long.MIN_VALUE;
@@ -66,7 +67,8 @@
         events = new RunEvents(jobs, unfinished, jobEvents, actions, durations, this::tenantOf, attribution, trials);
         progress = new ProgressLedger(jobs, workers, dirty);
         order = new TenantOrder(options.weights());
-        recovery = new Recovery(workers, unfinished, options.limits());
+        recovery = new Recovery(workers, unfinished, options.limits(), options.roster());
+        quorum = new Quorum(options.roster());
     }
 
     /** Adds a stored job, which an earlier owner may have started. */
@@ -98,11 +100,12 @@
     }
 
     /**
-     * Starts the recovery after a takeover: tasks of loaded jobs wait until every listed worker has reported its runs,
+     * Starts the recovery after a takeover: tasks of loaded jobs wait until every recorded worker has reported its runs,
      * or until all leases that the previous owner granted have certainly expired.
      */
     public void beginRecovery(long nowMs) {
         order.onLoaded(unfinished.values());
+        quorum.begin(nowMs);
         recovery.begin(nowMs);
         attribution.onInherited(unfinished.values(), nowMs);
     }
@@ -134,9 +137,12 @@
     public void onWorkerRegistered(WorkerEntry entry, long nowMs) {
         WorkerState worker = workers.get(entry.id());
         if (worker == null) {
-            workers.put(entry.id(), new WorkerState(entry, options.limits()));
+            workers.put(entry.id(), new WorkerState(entry, options.limits(), options.roster()));
             return;
         }
+        if (!entry.isSameIncarnation(worker.entry)) {
+            worker.replaced = false;
+        }
         if (entry.draining() && !worker.entry.draining()) {
             worker.drainingSinceMs = nowMs;
         }
@@ -144,6 +150,22 @@
         worker.listed = true;
     }
 
+    /**
+     * Adds a worker that an earlier owner has recorded. It is asked for its runs even if its registration is missing, and
+     * gets new ones once it is registered.
+     */
+    public void onWorkerRecorded(WorkerEntry recorded) {
+        WorkerState worker = workers.get(recorded.id());
+        if (worker == null) {
+            worker = new WorkerState(recorded, options.limits(), options.roster());
+            worker.listed = false;
+            workers.put(recorded.id(), worker);
+        }
+        if (worker.entryAtLastAnswer == null) {
+            worker.entryAtLastAnswer = recorded;
+        }
+    }
+
     /** Handles a removed registration: the worker gets no more work, and its runs end when their lease expires. */
     public void onWorkerUnregistered(String workerId) {
         WorkerState worker = workers.get(workerId);
@@ -161,19 +183,23 @@
         return Optional.ofNullable(workers.get(workerId)).map(worker -> worker.entry);
     }
 
-    /** Returns whether a majority of the listed workers responds; without it another owner may exist. */
+    /** Returns the registrations of the workers that have answered this owner as they are registered now. */
+    public List<WorkerEntry> answeringWorkers(long nowMs) {
+        return workers.values().stream()
+                .filter(worker -> worker.isAnswering(nowMs) && worker.answeredAtItsAddress())
+                .map(worker -> worker.entry)
+                .toList();
+    }
+
+    /** Returns whether the worker may have runs, of this owner or of an earlier one. */
+    public boolean mayHaveRuns(String workerId, long nowMs) {
+        WorkerState worker = workers.get(workerId);
+        return worker != null && (!worker.runs.isEmpty() || !worker.isLost(nowMs) || recovery.awaits(worker, nowMs));
+    }
+
+    /** Returns whether a majority of the recorded workers responds; without it another owner may exist. */
     public boolean hasQuorum(long nowMs) {
-        long listed = 0;
-        long answering = 0;
-        for (WorkerState worker : workers.values()) {
-            if (worker.listed) {
-                listed++;
-                if (worker.answered && nowMs - worker.lastAnswerMs < PoolTiming.UNRESPONSIVE_AFTER_MS) {
-                    answering++;
-                }
-            }
-        }
-        return 2 * answering > listed;
+        return quorum.isReached(workers.values(), nowMs);
     }
 
     /**
@@ -255,6 +281,7 @@
             return;
         }
         worker.answered = false;
+        worker.replaced = true;
         worker.leaseBoundMs = nowMs;
         worker.appliedSequence = 0;
         worker.durableSequence = 0;
@@ -305,9 +332,9 @@
         attribution.judge(nowMs, wallMs);
         trials.refresh(nowMs);
         events.stopUnwantedRuns(workers.values(), nowMs, recovery.mayLackGangMembers(nowMs));
-        boolean quorum = hasQuorum(nowMs);
-        recovery.reportUnseen(quorum, nowMs, wallMs);
-        if (quorum) {
+        boolean hasQuorum = hasQuorum(nowMs);
+        recovery.update(hasQuorum, nowMs, wallMs);
+        if (hasQuorum) {
             ExpectedEnds ends = new ExpectedEnds(durations, nowMs);
             SchedulingPass pass = new SchedulingPass(
                     workers.values(),
@@ -332,12 +359,9 @@
     /** Ends the runs of unresponsive workers once all their leases have certainly expired. */
     private void expireLeases(long nowMs, long wallMs) {
         for (WorkerState worker : List.copyOf(workers.values())) {
-            boolean unresponsive = !worker.answered || nowMs - worker.lastAnswerMs > PoolTiming.UNRESPONSIVE_AFTER_MS;
-            // Requires a failed hold after the expiry, so that an owner short of processor time doesn't miss an end.
-            boolean polledSince = worker.failedHoldSentAtMs >= worker.leaseBoundMs;
-            if (unresponsive && nowMs > worker.leaseBoundMs && (polledSince || worker.runs.isEmpty())) {
+            if (worker.isLost(nowMs)) {
                 events.onLeasesExpired(worker, "unresponsive until all leases had expired", nowMs, wallMs);
-                if (!worker.listed) {
+                if (!worker.listed && !recovery.awaits(worker, nowMs)) {
                     workers.remove(worker.id());
                 }
             }
--- a/library/src/main/java/io/radishspindle/pool/core/Recovery.java
+++ b/library/src/main/java/io/radishspindle/pool/core/Recovery.java
@@ -9,8 +9,10 @@
  * The time after a takeover in which runs of the previous owner may be unknown. Belongs to its scheduler; not
  * thread-safe.
  *
- * <p>Invariant: until every listed worker has reported, or all leases that the previous owner may have granted have
- * expired, everything that loaded jobs may have running on silent workers is reported to the limits of the tenants.
+ * <p>Invariant: until every recorded worker has reported or was replaced, or all leases that the previous owner may have
+ * granted have expired, no task of a loaded job is started, and everything that loaded jobs may have running on silent
+ * workers is reported to the limits of the tenants. Earlier owners have started runs on recorded workers only, so that a
+ * registration counts neither if it is missing nor if no worker is behind it.
  */
 final class Recovery {
     /** Longest time for which a run of the previous owner may outlast the loss of its workers, in milliseconds. */
@@ -32,14 +34,19 @@
     private final Map<String, WorkerState> workers;
     private final Map<String, JobState> unfinished;
     private final TenantLimits limits;
+    private final WorkerRoster roster;
     private long endsMs = Long.MIN_VALUE;
     private long gangsReportedByMs = Long.MIN_VALUE;
-    private long unseenUntilMs = Long.MIN_VALUE;
     private boolean unseen;
     /** By tenant, Unix milliseconds at which its last job was cancelled or failed. */
     private final Map<String, Long> lastStoppedWallMs = new HashMap<>();
 
-    Recovery(Map<String, WorkerState> workers, Map<String, JobState> unfinished, TenantLimits limits) {
+    Recovery(
+            Map<String, WorkerState> workers,
+            Map<String, JobState> unfinished,
+            TenantLimits limits,
+            WorkerRoster roster) {
+        this.roster = roster;
         this.workers = workers;
         this.unfinished = unfinished;
         this.limits = limits;
@@ -53,7 +60,6 @@
     void begin(long nowMs) {
         endsMs = nowMs + DURATION_MS;
         gangsReportedByMs = nowMs + GANG_WAIT_MS;
-        unseenUntilMs = endsMs;
         unseen = true;
     }
 
@@ -72,23 +78,32 @@
 
     private boolean isComplete() {
         return !workers.isEmpty()
-                && workers.values().stream().filter(worker -> worker.listed).allMatch(worker -> worker.answered);
+                && roster.isComplete()
+                && workers.values().stream().noneMatch(this::mayHaveUnknownRuns);
+    }
+
+    private boolean mayHaveUnknownRuns(WorkerState worker) {
+        return roster.contains(worker.id()) && !worker.answered && !worker.replaced;
+    }
+
+    /** Returns whether the worker may still report runs of an earlier owner. */
+    boolean awaits(WorkerState worker, long nowMs) {
+        return mayHaveUnknownRuns(worker) && isActive(nowMs);
     }
 
     /**
-     * Reports to the limits what may run unseen.
+     * Updates the end of the recovery, and reports to the limits what may run unseen.
      *
      * @param quorum whether a majority of the workers answers; until then the previous owner may still renew leases
      */
-    void reportUnseen(boolean quorum, long nowMs, long wallMs) {
+    void update(boolean quorum, long nowMs, long wallMs) {
         if (!unseen) {
             return;
         }
-        boolean anyListed = workers.values().stream().anyMatch(worker -> worker.listed);
-        if (!quorum && anyListed) {
-            unseenUntilMs = nowMs + DURATION_MS;
+        if (!quorum && isActive(nowMs)) {
+            endsMs = nowMs + DURATION_MS;
         }
-        unseen = nowMs < unseenUntilMs && !isComplete();
+        unseen = isActive(nowMs);
         limits.onUnseen(unseen ? unseenRuns(wallMs) : Map.of());
     }
 
--- a/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
+++ b/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
@@ -79,6 +79,7 @@
         endsAreFresh = worker.answered && nowMs - worker.lastAnswerMs <= MAX_REPORT_GAP_MS;
         worker.bootWallMs = report.bootWallMs();
         worker.answered = true;
+        worker.replaced = false;
         worker.entryAtLastAnswer = worker.entry;
         worker.lastHoldFailed = false;
         worker.brokenAtMs = -1;
--- a/library/src/main/java/io/radishspindle/pool/core/WorkerState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/WorkerState.java
@@ -18,11 +18,16 @@
     final Map<Run, RunState> runs = new LinkedHashMap<>();
     final WorkerHealth health = new WorkerHealth();
     private final TenantLimits limits;
+    private final WorkerRoster roster;
     WorkerEntry entry;
+    /** Whether the worker is registered in the store. */
     boolean listed = true;
+    /** Another worker has answered at the address of this one, which has therefore ended. */
+    boolean replaced;
+
     long bootWallMs;
     boolean answered;
-    /** The registration that was current at the last answer. */
+    /** The registration that was current at the last answer, to this owner or to an earlier one. */
     @Nullable
     WorkerEntry entryAtLastAnswer;
 
@@ -50,9 +55,10 @@
     long drainingSinceMs = -1;
     Resources used = Resources.NONE;
 
-    WorkerState(WorkerEntry entry, TenantLimits limits) {
+    WorkerState(WorkerEntry entry, TenantLimits limits, WorkerRoster roster) {
         this.entry = entry;
         this.limits = limits;
+        this.roster = roster;
     }
 
     String id() {
@@ -101,10 +107,27 @@
     boolean isUsable(long nowMs) {
         return listed
                 && runs.values().stream().noneMatch(run -> run.hasUnknownResources)
-                && answered
+                && isAnswering(nowMs)
                 && !entry.draining()
                 && !lastHoldFailed
-                && nowMs - lastAnswerMs < PoolTiming.UNRESPONSIVE_AFTER_MS;
+                && roster.mayStartOn(entry);
+    }
+
+    boolean isAnswering(long nowMs) {
+        return answered && nowMs - lastAnswerMs < PoolTiming.UNRESPONSIVE_AFTER_MS;
+    }
+
+    /** Whether the last answer came from the address that is registered now. */
+    boolean answeredAtItsAddress() {
+        return entryAtLastAnswer != null && entry.isAtSameAddress(entryAtLastAnswer);
+    }
+
+    /** Whether all leases that this owner granted have expired without a sign of life. */
+    boolean isLost(long nowMs) {
+        boolean unresponsive = !answered || nowMs - lastAnswerMs > PoolTiming.UNRESPONSIVE_AFTER_MS;
+        // Requires a failed hold after the expiry, so that an owner short of processor time doesn't miss an end.
+        boolean polledSince = failedHoldSentAtMs >= leaseBoundMs;
+        return unresponsive && nowMs > leaseBoundMs && (polledSince || runs.isEmpty());
     }
 
     /** Grants a lease: returns its expiry on the worker's clock and raises the bound on the owner's clock. */
--- a/library/src/main/java/io/radishspindle/pool/model/WorkerEntry.java
+++ b/library/src/main/java/io/radishspindle/pool/model/WorkerEntry.java
@@ -27,8 +27,13 @@
         labels = List.copyOf(labels);
     }
 
+    /** Returns whether both registrations are of a worker with the same id at the same address. */
+    public boolean isAtSameAddress(WorkerEntry other) {
+        return id.equals(other.id) && host.equals(other.host) && port == other.port;
+    }
+
     /** Returns whether both describe the same incarnation of a worker at the same address. */
     public boolean isSameIncarnation(WorkerEntry other) {
-        return id.equals(other.id) && host.equals(other.host) && port == other.port && bootWallMs == other.bootWallMs;
+        return isAtSameAddress(other) && bootWallMs == other.bootWallMs;
     }
 }
--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
@@ -61,6 +61,7 @@
     private final StoredRunTimes storedRunTimes;
     private final RunTimeReport runTimeReport;
     private final SliceQuota quota;
+    private final StoredRoster roster;
     private final PoolScheduler scheduler;
     private final EndedJobRemoval removal;
     private final WorkerSessions sessions;
@@ -109,7 +110,8 @@
         passes = new PassPacer(vertx, clock, this::runPass);
         pauseDetector = new PauseDetector(clock);
         quota = quotas.open(pool, fencingToken, new QuotaListener());
-        scheduler = new PoolScheduler(new PoolOptions(quota.limits(), runTimes, quotas::weight));
+        roster = new StoredRoster(clock, store, pool, fencingToken, new RosterListener());
+        scheduler = new PoolScheduler(new PoolOptions(quota.limits(), runTimes, quotas::weight, roster));
         removal = new EndedJobRemoval(clock, store, pool, fencingToken, scheduler);
         loading = new PortionedTasks(vertx, clock);
         sessions = new WorkerSessions(vertx, clock, control, scheduler, fencingToken, log, new SessionListener());
@@ -142,6 +144,7 @@
         intake.close();
         runTimeReport.close();
         quota.close();
+        roster.close();
         vertx.cancelTimer(tickTimer);
     }
 
@@ -169,20 +172,29 @@
         if (closed) {
             return;
         }
-        Future.join(store.list(StoreKeys.intake(pool)), store.list(StoreKeys.allProgress(pool)))
-                .onSuccess(both -> {
-                    Either<Failure, Listing> jobs = both.resultAt(0);
-                    Either<Failure, Listing> progress = both.resultAt(1);
-                    if (jobs.isLeft() || progress.isLeft()) {
+        Future.join(
+                        store.list(StoreKeys.intake(pool)),
+                        store.list(StoreKeys.allProgress(pool)),
+                        store.list(StoreKeys.workers(pool)))
+                .onSuccess(all -> {
+                    Either<Failure, Listing> jobs = all.resultAt(0);
+                    Either<Failure, Listing> progress = all.resultAt(1);
+                    Either<Failure, Listing> workers = all.resultAt(2);
+                    if (jobs.isLeft() || progress.isLeft() || workers.isLeft()) {
                         vertx.setTimer(LOAD_RETRY_MS, ignored -> load());
                     } else if (!closed) {
-                        onListed(jobs.get(), progress.get().items());
+                        onListed(
+                                jobs.get(),
+                                progress.get().items(),
+                                workers.get().items());
                     }
                 });
     }
 
     /** Loads the jobs in portions. One that is stored meanwhile is found by the watch, which follows the listing. */
-    private void onListed(Listing jobs, List<Item> progress) {
+    private void onListed(Listing jobs, List<Item> progress, List<Item> workers) {
+        roster.load(workers, !jobs.items().isEmpty()).forEach(scheduler::onWorkerRecorded);
+        sessions.pollNew();
         writer.onLoaded(progress);
         StoredJobs stored = new StoredJobs(pool, jobs.items(), progress);
         for (int i = 0; i < stored.count(); i++) {
@@ -195,11 +207,12 @@
         loaded = true;
         scheduler.beginRecovery(clock.nowMs());
         Logger.info(
-                "event=pool-loaded pool={} token={} jobs={} open={} took_ms={}",
+                "event=pool-loaded pool={} token={} jobs={} open={} workers={} took_ms={}",
                 pool,
                 fencingToken,
                 count,
                 scheduler.unfinishedJobs(),
+                scheduler.workerIds().size(),
                 clock.nowMs() - claimedAtMs);
         pauseDetector.check();
         intake.startAfter(listedRevision);
@@ -270,6 +283,7 @@
         }
         writer.scheduleWrite();
         quota.update(scheduler);
+        roster.update(scheduler);
     }
 
     /**
@@ -397,6 +411,19 @@
         }
     }
 
+    /** Reacts to the writes that record workers. */
+    private final class RosterListener implements StoredRoster.Listener {
+        @Override
+        public void onRecorded() {
+            passes.request();
+        }
+
+        @Override
+        public void onSuperseded(String reason) {
+            closeAsSuperseded(reason);
+        }
+    }
+
     /** Reacts to changes of the slice's shares in the tenants' quotas. */
     private final class QuotaListener implements SliceQuota.Listener {
         @Override
--- a/library/src/main/java/io/radishspindle/pool/runtime/Records.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/Records.java
@@ -7,6 +7,7 @@
 import io.vavr.control.Try;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.List;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 import org.msgpack.core.MessagePack;
@@ -46,6 +47,18 @@
     /** Number of slices of a pool. */
     record Slices(int count) {}
 
+    /** A worker that has answered an owner of its pool. */
+    record Worker(
+            String host,
+            int port,
+            String dataCentre,
+            String rack,
+            long bootWallMs,
+            long milliCores,
+            long memoryMib,
+            int accelerators,
+            List<String> labels) {}
+
     private Records() {}
 
     static byte[] encode(Object value) {
--- a/library/src/main/java/io/radishspindle/pool/runtime/StoreKeys.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/StoreKeys.java
@@ -80,6 +80,11 @@
         return ROOT + "run-times/" + pool;
     }
 
+    /** Prefix of the workers that have answered an owner of a pool, written by its owner only. */
+    static String workers(String pool) {
+        return ROOT + "workers/" + pool + "/";
+    }
+
     /** Prefix of the progress of a pool's jobs, written by its owner only. */
     static String allProgress(String pool) {
         return ROOT + "progress/" + pool + "/";
--- a/library/src/test/java/io/radishspindle/pool/core/PoolInvariantsTest.java
+++ b/library/src/test/java/io/radishspindle/pool/core/PoolInvariantsTest.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -22,10 +23,18 @@
  */
 class PoolInvariantsTest {
     private static final long END_MS = 90_000;
+    /** Loaded tasks wait for the leases on silent workers after each change of owner, which leaves a longer backlog. */
+    private static final long END_AFTER_LAPSES_MS = 120_000;
 
     /** A worker restarted while unreachable; the sequence number of an old end acknowledged an unreported new end. */
     private static final long RESTART_WHILE_UNREACHABLE_SEED = 153;
 
+    private static final Map<String, Resources> QUOTAS = Map.of(
+            "cores", new Resources(30_000, 1_000_000, 1_000),
+            "accelerators", new Resources(1_000_000, 1_000_000, 10));
+    /** Every third job belongs to no tenant. */
+    private static final List<String> TENANTS = List.of("cores", "accelerators", "");
+
     /** Seeds of the test, each with declared and with learned run times. */
     static Stream<Arguments> seedsAndRunTimes() {
         return seeds().boxed().flatMap(seed -> Stream.of(Arguments.of(seed, false), Arguments.of(seed, true)));
@@ -45,7 +54,21 @@
         PoolSimulation pool = simulation(seed, learned);
 
         // then
-        assertThat(run(pool, List.of())).isGreaterThan(500);
+        assertThat(run(pool, List.of(), PoolInvariantsTest::injectFault, END_MS))
+                .isGreaterThan(500);
+    }
+
+    /** Guards against an owner that counts only the workers that are registered when it takes over. */
+    @ParameterizedTest
+    @MethodSource("seedsAndRunTimes")
+    void should_run_each_task_once_while_registrations_are_missing(long seed, boolean learned) {
+        // given
+        PoolSimulation pool = simulation(seed, learned);
+        pool.limit(QUOTAS);
+
+        // then
+        assertThat(run(pool, TENANTS, PoolInvariantsTest::injectLapse, END_AFTER_LAPSES_MS))
+                .isGreaterThan(300);
     }
 
     /** Guards against a tenant above its quota, counted on the workers at each start, and against a leaking ledger. */
@@ -54,12 +77,10 @@
     void should_keep_every_tenant_within_its_quota(long seed, boolean learned) {
         // given: quotas that the load of each tenant exceeds most of the time
         PoolSimulation pool = simulation(seed, learned);
-        pool.limit(Map.of(
-                "cores", new Resources(30_000, 1_000_000, 1_000),
-                "accelerators", new Resources(1_000_000, 1_000_000, 10)));
+        pool.limit(QUOTAS);
 
         // then
-        assertThat(run(pool, List.of("cores", "accelerators", ""))).isGreaterThan(300);
+        assertThat(run(pool, TENANTS, PoolInvariantsTest::injectFault, END_MS)).isGreaterThan(300);
     }
 
     private static PoolSimulation simulation(long seed, boolean learned) {
@@ -67,7 +88,7 @@
     }
 
     /** Returns the number of starts. */
-    private static int run(PoolSimulation pool, List<String> tenants) {
+    private static int run(PoolSimulation pool, List<String> tenants, Consumer<PoolSimulation> faults, long endMs) {
         // given
         for (int i = 0; i < 10; i++) {
             pool.addWorker("w" + i, new Resources(16_000, 32_000, 8), "r" + i / 3);
@@ -80,7 +101,7 @@
         List<String> jobs = new ArrayList<>();
         while (pool.nowMs < 40_000) {
             submitJobs(pool, jobs, tenants);
-            injectFault(pool);
+            faults.accept(pool);
             pool.runUntil(pool.nowMs + 250);
         }
         pool.workers.values().forEach(worker -> worker.unreachable = false);
@@ -88,7 +109,7 @@
         pool.lateOrderProbability = 0;
         pool.lostAnswerProbability = 0;
         pool.failureProbability = 0;
-        pool.runUntil(END_MS);
+        pool.runUntil(endMs);
 
         // then
         assertThat(pool.history.violations).isEmpty();
@@ -124,6 +145,15 @@
         }
     }
 
+    private static void injectLapse(PoolSimulation pool) {
+        int workers = pool.workers.size();
+        switch (pool.random().nextInt(24)) {
+            case 0 -> pool.changeOwnerAfterLapse(pool.random().nextInt(workers + 1));
+            case 1 -> pool.randomWorkers(1).forEach(pool::crash);
+            default -> injectFault(pool);
+        }
+    }
+
     private static void injectFault(PoolSimulation pool) {
         List<SimWorker> workers = List.copyOf(pool.workers.values());
         SimWorker worker = workers.get(pool.random().nextInt(workers.size()));
--- a/library/src/test/java/io/radishspindle/pool/core/PoolSimulation.java
+++ b/library/src/test/java/io/radishspindle/pool/core/PoolSimulation.java
@@ -61,6 +61,10 @@
     private static final long MAX_WATCH_DELAY_MS = 1_600;
     /** Time after which the entry of a silent worker is removed. */
     private static final long ENTRY_TTL_MS = 4_500;
+    /** Time within which entries that expired in an outage of the store are back. */
+    private static final long MAX_ENTRY_RETURN_MS = 2_000;
+
+    private static final long ROSTER_WRITE_MS = 20;
 
     private record Event(long atMs, long order, Runnable action) {}
 
@@ -73,6 +77,10 @@
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(Comparator.comparingLong(Event::atMs).thenComparingLong(Event::order));
     private final Supplier<RunTimePredictor> runTimes;
+    /** Workers that were recorded in the store. */
+    private final Map<String, WorkerEntry> storedRoster = new HashMap<>();
+
+    private SimRoster roster = new SimRoster(storedRoster);
     PoolScheduler scheduler;
     private TenantQuotas limits = new TenantQuotas("pool", Map::of);
     private boolean limited;
@@ -139,8 +147,9 @@
     }
 
     private PoolScheduler createScheduler() {
+        roster = new SimRoster(storedRoster);
         if (!limited) {
-            return new PoolScheduler(new PoolOptions(TenantLimits.NONE, runTimes.get(), weights));
+            return new PoolScheduler(new PoolOptions(TenantLimits.NONE, runTimes.get(), weights, roster));
         }
         limits = new TenantQuotas("pool", () -> history.quotas);
         Map<String, Map<String, Entry>> whole = new HashMap<>();
@@ -149,7 +158,7 @@
                 .forEach(tenant -> whole.put(tenant, Map.of("pool", new Entry(Share.ALL, Share.NONE, Share.NONE, 0))));
         limits.onRead(new QuotaShares(1, Map.of(), whole), 1);
         limits.onConfirmed();
-        return new PoolScheduler(new PoolOptions(limits, runTimes.get(), weights));
+        return new PoolScheduler(new PoolOptions(limits, runTimes.get(), weights, roster));
     }
 
     /** The limits must know exactly the runs that the scheduler knows. */
@@ -171,10 +180,14 @@
         return random;
     }
 
+    /** Adds a worker that an earlier owner has recorded. */
     void addWorker(String id, Resources capacity, String rack) {
         int port = 8_000 + workers.size();
-        register(new WorkerEntry(
-                id, "pool", "10.0.0.1", port, "dc", rack, false, -1, 500, capacity, List.of("a", rack)));
+        WorkerEntry entry =
+                new WorkerEntry(id, "pool", "10.0.0.1", port, "dc", rack, false, -1, 500, capacity, List.of("a", rack));
+        storedRoster.put(id, entry);
+        roster.recorded.put(id, entry);
+        register(entry);
     }
 
     private void register(WorkerEntry entry) {
@@ -241,14 +254,70 @@
 
     /** Another VM takes over the pool from the stored state; the previous owner stops. */
     void changeOwner() {
+        changeOwner(Set.of());
+    }
+
+    /** Another VM takes over after an outage of the store in which some entries have expired; they return one by one. */
+    void changeOwnerAfterLapse(int missing) {
+        Set<String> ids = new HashSet<>();
+        randomWorkers(missing).forEach(worker -> ids.add(worker.entry.id()));
+        changeOwner(ids);
+    }
+
+    private void changeOwner(Set<String> missing) {
         loseOwner();
         storedJobs.values().forEach(this::load);
         scheduler.beginRecovery(nowMs);
-        // Another VM may know an older version of an entry.
-        workers.values()
-                .forEach(worker -> scheduler.onWorkerRegistered(
-                        knownEntries.getOrDefault(worker.entry.id(), worker.entry), nowMs));
-        workers.keySet().forEach(id -> poll(id, scheduler, fencingToken));
+        PoolScheduler owner = scheduler;
+        long token = fencingToken;
+        for (SimWorker worker : workers.values()) {
+            // Another VM may know an older version of an entry.
+            WorkerEntry entry = knownEntries.getOrDefault(worker.entry.id(), worker.entry);
+            if (!missing.contains(entry.id())) {
+                scheduler.onWorkerRegistered(entry, nowMs);
+            } else if (!worker.isDown) {
+                boolean polled = storedRoster.containsKey(entry.id());
+                after(random.nextLong(MAX_ENTRY_RETURN_MS), () -> {
+                    if (owner == scheduler && workers.get(entry.id()) == worker) {
+                        owner.onWorkerRegistered(entry, nowMs);
+                        if (!polled) {
+                            poll(entry.id(), owner, token);
+                        }
+                    }
+                });
+            }
+        }
+        storedRoster.values().forEach(scheduler::onWorkerRecorded);
+        scheduler.workerIds().forEach(id -> poll(id, scheduler, fencingToken));
+    }
+
+    /** Records the workers that have answered, as the owner does after each pass. */
+    private void recordWorkers() {
+        PoolScheduler owner = scheduler;
+        SimRoster own = roster;
+        if (storeUnavailable || own.inFlight) {
+            return;
+        }
+        owner.answeringWorkers(nowMs).stream()
+                .filter(worker -> !own.mayStartOn(worker))
+                .forEach(worker -> own.adding.put(worker.id(), worker));
+        List<String> removed = own.recorded.keySet().stream()
+                .filter(id -> !own.isBeingAdded(id) && !owner.mayHaveRuns(id, nowMs))
+                .toList();
+        if (own.adding.isEmpty() && removed.isEmpty()) {
+            return;
+        }
+        own.inFlight = true;
+        after(ROSTER_WRITE_MS, () -> {
+            own.inFlight = false;
+            if (owner == scheduler && !storeUnavailable) {
+                storedRoster.putAll(own.adding);
+                storedRoster.keySet().removeAll(removed);
+                own.recorded.putAll(own.adding);
+                own.recorded.keySet().removeAll(removed);
+                own.adding.clear();
+            }
+        });
     }
 
     /** Changes the capacity of a worker; the VMs learn of it within the delay of their watches. */
@@ -297,6 +366,7 @@
                     .schedule(nowMs, nowMs, new LimitedChannels(adviceChannels - adviceCalls, adviceChannels))
                     .forEach(this::perform);
             write();
+            recordWorkers();
             checkLedger();
         }
     }
