Give a number of pending jobs for 2 s only, and phases only with a majority

Cause: JobDirectory kept the last number of each queue without its time. An owner that the store didn't answer, or that had been paused, counted what it had loaded at any time, too, and gave phases of jobs without knowing whether another VM had replaced it.

Change: a number carries the time at which its owner last knew all accepted jobs, also between VMs (a field at the end of the reply, which an older release skips). After 2 s, as the platform allows, the answer is 503 with Retry-After on every path. Phases come from the store while no majority of the workers answers. An owner stops once its VM's own watch shows a newer claim.

--- a/library/src/main/java/io/radishspindle/pool/runtime/JobDirectory.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/JobDirectory.java
@@ -29,7 +29,8 @@
  * Queries and cancels jobs. Queries go to the owner of the pool, and to the store if the owner does not know. Confined
  * to one event loop.
  *
- * <p>Invariant: a job is reported as unknown only after a linearizable read has not found it.
+ * <p>Invariants: a job is reported as unknown only after a linearizable read has not found it; a number of pending jobs
+ * is given only while it is current, whoever counted them and however the owner was lost.
  */
 final class JobDirectory {
     /** Timeout of a query to the owner, in milliseconds; the store is read afterwards. */
@@ -46,7 +47,8 @@
     private final ControlView view;
     private final NodeIdentity self;
     private final Map<String, PoolOwner> owned;
-    private final Map<String, Integer> lastPending = new HashMap<>();
+    /** Last answers of owners, by pool and queue. */
+    private final Map<String, PendingCount> lastPending = new HashMap<>();
 
     JobDirectory(
             Clock clock,
@@ -67,7 +69,7 @@
     Future<Either<Failure, Optional<JobSummary>>> summary(String pool, String jobId) {
         PoolOwner local = owned.get(pool);
         if (local != null) {
-            Optional<JobSummary> known = local.summary(jobId);
+            Optional<JobSummary> known = local.currentSummary(jobId);
             return known.isPresent() ? Future.succeededFuture(Either.right(known)) : summaryFromStore(pool, jobId);
         }
         Optional<String> owner = remoteOwner(pool);
@@ -125,36 +127,40 @@
         return cancelled ? JobPhase.CANCELLED : saved.orElse(JobPhase.QUEUED);
     }
 
-    /** Number of jobs of a queue without a started task, from the owner or else from its last answer. */
+    /** Number of jobs of a queue without a started task, from the owner or else from its last answer if it is current. */
     Future<Either<Failure, Integer>> pending(String pool, String queue) {
+        String key = pool + "/" + queue;
         PoolOwner local = owned.get(pool);
         if (local != null) {
-            Optional<Integer> count = local.pending(queue);
-            return count.isPresent()
-                    ? Future.succeededFuture(Either.right(count.get()))
-                    : Future.succeededFuture(cachedPending(pool, queue));
+            local.pending(queue).ifPresent(counted -> lastPending.put(key, counted));
+            return Future.succeededFuture(currentPending(key, queue));
         }
         Optional<String> owner = remoteOwner(pool);
         if (owner.isEmpty()) {
-            return Future.succeededFuture(cachedPending(pool, queue));
+            return Future.succeededFuture(currentPending(key, queue));
         }
+        long sentAtMs = clock.nowMs();
         return messenger
                 .request(owner.get(), new QueryPending(pool, queue), PendingJobs.class, OWNER_TIMEOUT_MS)
                 .map(reply -> {
-                    if (reply.isLeft() || reply.get().count() < 0) {
-                        return cachedPending(pool, queue);
-                    }
-                    lastPending.put(pool + "/" + queue, reply.get().count());
-                    return Either.right(reply.get().count());
+                    reply.toJavaOptional()
+                            .filter(pending -> pending.count() >= 0)
+                            .ifPresent(pending -> lastPending.put(
+                                    key, new PendingCount(pending.count(), sentAtMs - pending.ageMs())));
+                    return currentPending(key, queue);
                 });
     }
 
-    private Either<Failure, Integer> cachedPending(String pool, String queue) {
-        Integer last = lastPending.get(pool + "/" + queue);
-        return last == null
-                ? Either.left(Failure.retryable(
-                        ErrorCode.NO_OWNER, "queue.pending", queue, "the pool has no owner", RETRY_AFTER_MS))
-                : Either.right(last);
+    private Either<Failure, Integer> currentPending(String key, String queue) {
+        return Optional.ofNullable(lastPending.get(key))
+                .filter(pending -> pending.isCurrent(clock.nowMs()))
+                .map(pending -> Either.<Failure, Integer>right(pending.count()))
+                .orElseGet(() -> Either.left(Failure.retryable(
+                        ErrorCode.NO_OWNER,
+                        "queue.pending",
+                        queue,
+                        "no current number from the owner of the pool",
+                        RETRY_AFTER_MS)));
     }
 
     /** Cancels a job if the caller may access it. The cancellation is durable when this succeeds. */
--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolNode.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolNode.java
@@ -16,6 +16,7 @@
 import io.radishspindle.pool.port.SharedStore.Write;
 import io.radishspindle.pool.port.WorkerControl;
 import io.radishspindle.pool.prediction.RunTimes;
+import io.radishspindle.pool.runtime.ControlView.Ownership;
 import io.radishspindle.protocol.PeerMessage;
 import io.radishspindle.protocol.TcpPeerMessenger;
 import io.radishspindle.protocol.message.EmptyReply;
@@ -135,6 +136,7 @@
 
     private void tick() {
         store.tick();
+        closeSuperseded();
         PoolConfig current = config;
         if (current != null && controlWatch.isListed() && !draining) {
             sizing.tick(current.pools());
@@ -142,6 +144,13 @@
         }
     }
 
+    /** Stops owners over which another VM has claimed the pool, before a worker or the store rejects them. */
+    private void closeSuperseded() {
+        List.copyOf(owned.values())
+                .forEach(owner ->
+                        view.owner(owner.pool()).map(Ownership::revision).ifPresent(owner::onClaimSeen));
+    }
+
     private List<String> otherVms() {
         return view.active().keySet().stream()
                 .filter(vm -> !vm.equals(self.vmId()))
@@ -313,14 +322,15 @@
         messenger.handle(
                 QueryPoolJob.class,
                 (vm, message) -> answer(ownerOf(message.pool())
-                        .flatMap(owner -> owner.summary(message.jobId()))
+                        .flatMap(owner -> owner.currentSummary(message.jobId()))
                         .map(job -> new PoolJobState(job.phase().name(), job.tenant()))
                         .orElseGet(() -> new PoolJobState("", null))));
         messenger.handle(
                 QueryPending.class,
-                (vm, message) -> answer(new PendingJobs(ownerOf(message.pool())
+                (vm, message) -> answer(ownerOf(message.pool())
                         .flatMap(owner -> owner.pending(message.queue()))
-                        .orElse(-1))));
+                        .map(pending -> new PendingJobs(pending.count(), pending.ageMs(clock.nowMs())))
+                        .orElseGet(() -> new PendingJobs(-1, 0))));
         messenger.handle(QueryConfig.class, (vm, message) -> configRelay.serve(message));
         messenger.handle(RelayStore.class, (vm, message) -> store.serve(message).map(Either::narrow));
         messenger.handle(RequestAdvice.class, (vm, message) -> channel.advise(
--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
@@ -172,6 +172,7 @@
         if (closed) {
             return;
         }
+        long requestedAtMs = clock.nowMs();
         Future.join(
                         store.list(StoreKeys.intake(pool)),
                         store.list(StoreKeys.allProgress(pool)),
@@ -184,6 +185,7 @@
                         vertx.setTimer(LOAD_RETRY_MS, ignored -> load());
                     } else if (!closed) {
                         onListed(
+                                requestedAtMs,
                                 jobs.get(),
                                 progress.get().items(),
                                 workers.get().items());
@@ -192,7 +194,7 @@
     }
 
     /** Loads the jobs in portions. One that is stored meanwhile is found by the watch, which follows the listing. */
-    private void onListed(Listing jobs, List<Item> progress, List<Item> workers) {
+    private void onListed(long requestedAtMs, Listing jobs, List<Item> progress, List<Item> workers) {
         roster.load(workers, !jobs.items().isEmpty()).forEach(scheduler::onWorkerRecorded);
         sessions.pollNew();
         writer.onLoaded(progress);
@@ -200,10 +202,10 @@
         for (int i = 0; i < stored.count(); i++) {
             loading.add(() -> stored.loadNext(scheduler, clock.wallMs()));
         }
-        loading.add(() -> onLoaded(jobs.revision(), stored.count()));
+        loading.add(() -> onLoaded(jobs.revision(), requestedAtMs, stored.count()));
     }
 
-    private void onLoaded(long listedRevision, int count) {
+    private void onLoaded(long listedRevision, long listedAtMs, int count) {
         loaded = true;
         scheduler.beginRecovery(clock.nowMs());
         Logger.info(
@@ -215,7 +217,7 @@
                 scheduler.workerIds().size(),
                 clock.nowMs() - claimedAtMs);
         pauseDetector.check();
-        intake.startAfter(listedRevision);
+        intake.startAfter(listedRevision, listedAtMs);
         sessions.startDelivery();
         sessions.pollNew();
         tickTimer = vertx.setPeriodic(TICK_MS, ignored -> tick());
@@ -357,6 +359,11 @@
         scheduler.onWorkerUnregistered(workerId);
     }
 
+    /** Summary of a job as of the last moments; empty if it is unknown, or if this owner may have been replaced since. */
+    Optional<JobSummary> currentSummary(String jobId) {
+        return scheduler.hasQuorum(clock.nowMs()) ? summary(jobId) : Optional.empty();
+    }
+
     /** Summary of a job; empty if it is unknown to this owner, for example while it loads. */
     Optional<JobSummary> summary(String jobId) {
         Optional<JobPhase> phase = loaded ? scheduler.phase(jobId) : Optional.empty();
@@ -364,15 +371,33 @@
                 known -> new JobSummary(known, scheduler.tenantOf(jobId).orElse(null)));
     }
 
-    /** Number of jobs of a queue without a started task; empty while this owner loads. */
-    Optional<Integer> pending(String queue) {
-        return loaded ? Optional.of(scheduler.pending(queue)) : Optional.empty();
+    /**
+     * Number of jobs of a queue without a started task, as of the last time that this owner knew all accepted jobs; empty
+     * while it loads, and once that was too long ago because the store is unavailable or this VM was paused.
+     */
+    Optional<PendingCount> pending(String queue) {
+        if (!loaded) {
+            return Optional.empty();
+        }
+        return Optional.of(new PendingCount(scheduler.pending(queue), intake.lastSuccessMs()))
+                .filter(pending -> pending.isCurrent(clock.nowMs()));
     }
 
     int unfinishedJobs() {
         return scheduler.unfinishedJobs();
     }
 
+    String pool() {
+        return pool;
+    }
+
+    /** The claim in force has this revision, or a later one. */
+    void onClaimSeen(long revision) {
+        if (revision > fencingToken) {
+            closeAsSuperseded("the store has a claim of revision " + revision);
+        }
+    }
+
     private void closeAsSuperseded(String reason) {
         if (!closed) {
             close();
--- a/library/src/main/java/io/radishspindle/pool/runtime/PrefixWatch.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PrefixWatch.java
@@ -74,9 +74,14 @@
         list();
     }
 
-    /** Starts watching after a listing that the caller has made itself. */
-    void startAfter(long listedRevision) {
+    /**
+     * Starts watching after a listing that the caller has made itself.
+     *
+     * @param listedAtMs when the listing was requested, on the monotonic clock
+     */
+    void startAfter(long listedRevision, long listedAtMs) {
         revision = listedRevision;
+        lastSuccessMs = listedAtMs;
         listed = true;
         watch();
     }
--- a/library/src/main/java/io/radishspindle/protocol/message/PoolMessages.java
+++ b/library/src/main/java/io/radishspindle/protocol/message/PoolMessages.java
@@ -30,8 +30,13 @@
     /** Queries the owner for the number of jobs of a queue without a started task; the reply is {@link PendingJobs}. */
     public record QueryPending(String pool, String queue) implements PeerMessage {}
 
-    /** Number of jobs without a started task. */
-    public record PendingJobs(int count) implements PeerMessage {}
+    /**
+     * Number of jobs without a started task.
+     *
+     * @param count negative if the sender doesn't know
+     * @param ageMs how long ago the sender last knew all accepted jobs, in milliseconds; 0 from an older release
+     */
+    public record PendingJobs(int count, long ageMs) implements PeerMessage {}
 
     /** Queries whether the receiver owns a pool; the reply is {@link PoolPong}. */
     public record PoolPing(String pool) implements PeerMessage {}
