Take no worker from an odd entry, and limit the polls of workers that never answered

Cause: the decoder of entries checked only the fields that it uses, so that an entry without zone and version and with a text for its slots was a registered worker, and a majority of the registered workers had to answer. The majority has counted recorded workers since, so that valid entries without a worker don't count either.

An entry that can't be decoded counts as absent also where it replaces the entry of a worker.

--- a/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
@@ -191,6 +191,12 @@
                 .toList();
     }
 
+    /** Returns whether the worker has ever answered an owner of the pool. */
+    public boolean hasAnswered(String workerId) {
+        WorkerState worker = workers.get(workerId);
+        return worker != null && worker.entryAtLastAnswer != null;
+    }
+
     /** Returns whether the worker may have runs, of this owner or of an earlier one. */
     public boolean mayHaveRuns(String workerId, long nowMs) {
         WorkerState worker = workers.get(workerId);
--- a/library/src/main/java/io/radishspindle/pool/runtime/RegisteredWorkers.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/RegisteredWorkers.java
@@ -13,6 +13,8 @@
 /**
  * Tracks the entries that workers register in the store, and reports changes to the owners of their slices on this VM.
  * Confined to one event loop.
+ *
+ * <p>Invariant: an entry that can't be decoded counts as absent, also if it replaces the entry of a worker.
  */
 final class RegisteredWorkers implements PrefixWatch.Listener {
     private final PlatformCodec codec;
@@ -53,13 +55,15 @@
             onRemoved(id(item.key()));
             return;
         }
-        codec.worker(item.key(), value).ifPresent(entry -> {
-            WorkerEntry before = workers.put(entry.id(), entry);
-            if (before != null && !slices.ofWorker(before).equals(slices.ofWorker(entry))) {
-                ownerOf(before).ifPresent(owner -> owner.onWorkerUnregistered(entry.id()));
-            }
-            ownerOf(entry).ifPresent(owner -> owner.onWorkerRegistered(entry));
-        });
+        codec.worker(item.key(), value).ifPresentOrElse(this::onRegistered, () -> onRemoved(id(item.key())));
+    }
+
+    private void onRegistered(WorkerEntry entry) {
+        WorkerEntry before = workers.put(entry.id(), entry);
+        if (before != null && !slices.ofWorker(before).equals(slices.ofWorker(entry))) {
+            ownerOf(before).ifPresent(owner -> owner.onWorkerUnregistered(entry.id()));
+        }
+        ownerOf(entry).ifPresent(owner -> owner.onWorkerRegistered(entry));
     }
 
     private void onRemoved(String id) {
--- a/library/src/main/java/io/radishspindle/pool/runtime/WorkerSessions.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/WorkerSessions.java
@@ -43,6 +43,7 @@
     }
 
     private final Vertx vertx;
+    private final FirstPolls firstPolls;
     /** First polls of workers and buffered reports; all of them at once would block the event loop after a claim. */
     private final PortionedTasks portions;
 
@@ -69,6 +70,7 @@
             BoundedLog log,
             Listener listener) {
         this.vertx = vertx;
+        firstPolls = new FirstPolls(vertx, this::pollNow);
         portions = new PortionedTasks(vertx, clock);
         this.clock = clock;
         this.control = control;
@@ -81,6 +83,7 @@
     void close() {
         closed = true;
         portions.clear();
+        firstPolls.clear();
         buffered.clear();
     }
 
@@ -104,9 +107,18 @@
     }
 
     private void poll(String id) {
+        if (scheduler.hasAnswered(id)) {
+            pollNow(id);
+        } else {
+            firstPolls.add(id);
+        }
+    }
+
+    private void pollNow(String id) {
         WorkerEntry worker = scheduler.worker(id).orElse(null);
         if (closed || worker == null) {
             polled.remove(id);
+            firstPolls.onAnswered(id);
             return;
         }
         long sentAtMs = clock.nowMs();
@@ -131,6 +143,7 @@
         }
         listener.beforeReport();
         if (result.isRight() && result.get().answer() == Answer.ACCEPTED) {
+            firstPolls.onAnswered(id);
             scheduler.onHoldReply(id, sentAtMs, result.get().report(), receivedAtMs, clock.wallMs());
             listener.onReport();
             if (scheduler.awaitsDurability(id)) {
@@ -150,7 +163,11 @@
             scheduler.onWorkerReplaced(worker, clock.nowMs(), clock.wallMs());
             listener.onReport();
         }
-        pollLater(id, PoolTiming.HOLD_RETRY_MS);
+        if (firstPolls.isInFlight(id)) {
+            firstPolls.onFailed(id);
+        } else {
+            pollLater(id, PoolTiming.HOLD_RETRY_MS);
+        }
     }
 
     private void pollLater(String id, long delayMs) {
--- a/library/src/test/java/io/radishspindle/pool/core/RecordedWorkersTest.java
+++ b/library/src/test/java/io/radishspindle/pool/core/RecordedWorkersTest.java
@@ -189,4 +189,17 @@
         answer(2, 3);
         assertThat(scheduler.hasQuorum(nowMs)).isTrue();
     }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 5, 1_000})
+    void should_not_count_entries_whose_workers_never_answered(int entries) {
+        // given
+        takeOver(RECORDED);
+        for (int i = 0; i < entries; i++) {
+            scheduler.onWorkerRegistered(entry("x" + i), nowMs);
+        }
+
+        // then
+        assertThat(passes(100, RECORDED)).containsExactly("old");
+    }
 }
--- a/library/src/test/java/io/radishspindle/pool/runtime/LapsedRegistrationsTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/LapsedRegistrationsTest.java
@@ -4,6 +4,7 @@
 
 import io.radishspindle.pool.model.JobPhase;
 import io.radishspindle.pool.model.WorkerEntry;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -85,4 +86,24 @@
         pool.awaitOnLoop(() -> pool.workers.all().size() == WORKERS + 1);
         assertThat(pool.onLoop(() -> pool.phase("new"))).contains(JobPhase.RUNNING);
     }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 6, 40, 1_000})
+    void should_not_wait_for_entries_whose_workers_never_answer(int silent) throws Exception {
+        // given entries that look valid, but have no worker
+        List<WorkerEntry> entries = new ArrayList<>(PoolOwnerFixture.entries("w", WORKERS, 2));
+        entries.addAll(PoolOwnerFixture.entries("x", silent, 2));
+
+        // when the first owner, and then the next one, read them
+        startJobsUnderFirstOwner(entries);
+        takeOver(entries);
+        pool.awaitOnLoop(() -> pool.owner.pending("q").isPresent());
+        pool.onLoop(() -> {
+            pool.submit("new");
+            return true;
+        });
+
+        // then
+        pool.awaitOnLoop(() -> pool.workers.all().size() == WORKERS + 1);
+    }
 }
