--- a/library/src/main/java/io/radishspindle/pool/runtime/PrefixWatch.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PrefixWatch.java
@@ -15,6 +15,8 @@
 /**
  * Watches the keys under a prefix: lists them once, then watches for changes, and lists them again after a failure or
  * when the store no longer has the history. Confined to one event loop.
+ *
+ * <p>Invariant: the watch goes on whatever its items hold; one that its listener can't apply is logged and left out.
  */
 final class PrefixWatch {
     /**
@@ -117,7 +119,8 @@
         revision = result.get().revision();
         listed = true;
         emptyWatches = 0;
-        listener.onListed(result.get().items());
+        Listing listing = result.get();
+        apply("the listing", () -> listener.onListed(listing.items()));
         watch();
     }
 
@@ -144,7 +147,7 @@
         }
         onSuccess();
         Listing changes = result.get();
-        changes.items().forEach(listener::onChanged);
+        changes.items().forEach(item -> apply(item.key(), () -> listener.onChanged(item)));
         revision = Math.max(revision, changes.revision());
         emptyWatches = changes.items().isEmpty() ? emptyWatches + 1 : 0;
         if (emptyWatches >= MAX_EMPTY_WATCHES) {
@@ -156,6 +159,14 @@
         }
     }
 
+    private void apply(String what, Runnable change) {
+        try {
+            change.run();
+        } catch (RuntimeException e) {
+            Logger.error(e, "event=change-not-applied prefix={} item=\"{}\"", prefix, what);
+        }
+    }
+
     private void onSuccess() {
         lastSuccessMs = clock.nowMs();
         if (failing) {
--- a/library/src/main/java/io/radishspindle/pool/runtime/Records.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/Records.java
@@ -81,9 +81,16 @@
                 : decode(key, value, JobTenant.class).toJavaOptional().map(JobTenant::tenant);
     }
 
+    private static <T> T requireValue(@Nullable T value) throws IOException {
+        if (value == null) {
+            throw new IOException("the value is nil");
+        }
+        return value;
+    }
+
     /** Decodes a value; a failure is logged with the key and returned. */
     static <T> Try<T> decode(String key, byte[] bytes, Class<T> type) {
-        return Try.of(() -> MAPPER.readValue(bytes, type))
+        return Try.of(() -> requireValue(MAPPER.readValue(bytes, type)))
                 .onFailure(e -> Logger.warn(
                         "event=value-unreadable key={} type={} error=\"{}\"",
                         key,
--- a/library/src/test/java/io/radishspindle/pool/runtime/FakeSharedStore.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/FakeSharedStore.java
@@ -43,6 +43,9 @@
     /** Whether a watch without changes waits for ever. */
     boolean watchesWait;
 
+    /** Whether a watch waits for ever. */
+    boolean watched;
+
     /** Hanging calls; running them fails them with an unknown outcome. */
     final List<Runnable> hanging = new ArrayList<>();
 
@@ -99,13 +102,16 @@
         if (watchesWait
                 && items.values().stream()
                         .noneMatch(item -> item.key().startsWith(prefix) && item.revision() > afterRevision)) {
+            watched = true;
             return Promise.<Either<Failure, Listing>>promise().future();
         }
-        return withFaults(() -> Either.right(new Listing(
-                items.values().stream()
-                        .filter(item -> item.key().startsWith(prefix) && item.revision() > afterRevision)
-                        .toList(),
-                revision)));
+        return withFaults(() -> {
+            List<Item> changed = items.values().stream()
+                    .filter(item -> item.key().startsWith(prefix) && item.revision() > afterRevision)
+                    .toList();
+            long at = changed.stream().mapToLong(Item::revision).max().orElse(revision);
+            return Either.right(new Listing(changed, Math.max(at, revision)));
+        });
     }
 
     @Override
