Ignore a reply with an impossible age, and hold peers' frames to deep nesting

HostilePeersTest decodes arrays and maps nested half a million deep as each type of message on a stack of 256 KB: none ends the thread, without a change.

--- a/library/src/main/java/io/radishspindle/pool/runtime/JobDirectory.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/JobDirectory.java
@@ -144,9 +144,8 @@
                 .request(owner.get(), new QueryPending(pool, queue), PendingJobs.class, OWNER_TIMEOUT_MS)
                 .map(reply -> {
                     reply.toJavaOptional()
-                            .filter(pending -> pending.count() >= 0)
-                            .ifPresent(pending -> lastPending.put(
-                                    key, new PendingCount(pending.count(), sentAtMs - pending.ageMs())));
+                            .flatMap(pending -> PendingCount.received(pending, sentAtMs))
+                            .ifPresent(pending -> lastPending.put(key, pending));
                     return currentPending(key, queue);
                 });
     }
--- a/library/src/test/java/io/radishspindle/pool/runtime/PendingCountTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/PendingCountTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against a number of pending jobs that is given although it is older than 2 s, for example after a kill. */
 class PendingCountTest {
@@ -94,9 +95,10 @@
         assertThat(pending().isRight()).isEqualTo(given);
     }
 
-    @Test
-    void should_refuse_a_number_that_is_too_old_at_the_owner() {
-        ownerAnswers(new PendingJobs(3, 2_100));
+    @ParameterizedTest
+    @ValueSource(longs = {2_100, -1, Long.MAX_VALUE, Long.MIN_VALUE})
+    void should_refuse_a_number_that_is_too_old_at_the_owner_or_has_no_possible_age(long ageMs) {
+        ownerAnswers(new PendingJobs(3, ageMs));
 
         assertRefused(pending());
     }
--- a/library/src/test/java/io/radishspindle/protocol/HostilePeersTest.java
+++ b/library/src/test/java/io/radishspindle/protocol/HostilePeersTest.java
@@ -14,16 +14,20 @@
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetSocket;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.FutureTask;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -168,6 +172,40 @@
         assertThatThrownBy(() -> PeerCodec.decode(header, Frame.class)).isInstanceOf(ProtocolException.class);
     }
 
+    static Stream<Class<?>> messageTypes() {
+        return MessageTypes.BY_CODE.values().stream().map(type -> type);
+    }
+
+    /** Guards against a StackOverflowError on a thread with a small stack. */
+    @ParameterizedTest
+    @MethodSource("messageTypes")
+    void should_decode_or_reject_deeply_nested_messages(Class<?> type) throws Exception {
+        // given arrays and maps of one element each, inside each other
+        int depth = PeerCodec.MAX_FRAME_BYTES / 2;
+        byte[] arrays = new byte[depth];
+        byte[] maps = new byte[2 * depth];
+        Arrays.fill(arrays, (byte) 0x91);
+        Arrays.fill(maps, (byte) 0x81);
+        arrays[depth - 1] = 1;
+        maps[2 * depth - 1] = 1;
+
+        // when
+        FutureTask<Boolean> decoded =
+                new FutureTask<>(() -> isDecodedOrRejected(arrays, type) && isDecodedOrRejected(maps, type));
+        new Thread(null, decoded, "decoder", 256 * 1024).start();
+
+        // then a message without fields skips what it doesn't know
+        assertThat(decoded.get(LONG_MS, TimeUnit.MILLISECONDS)).isTrue();
+    }
+
+    private static boolean isDecodedOrRejected(byte[] bytes, Class<?> type) {
+        try {
+            return type.isInstance(PeerCodec.decode(bytes, type));
+        } catch (ProtocolException e) {
+            return true;
+        }
+    }
+
     @Test
     void should_survive_random_bytes() {
         // given
