Take the order of tenants and the pace of trials from workers that have answered

What may run unseen was bounded by the capacity of the silent registered workers, also where not all workers are recorded.

Change: both count workers that have ever answered, and the bound applies only if all workers are recorded.

The count of the trials has no test of its own.

--- a/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
@@ -194,7 +194,7 @@
     /** Returns whether the worker has ever answered an owner of the pool. */
     public boolean hasAnswered(String workerId) {
         WorkerState worker = workers.get(workerId);
-        return worker != null && worker.entryAtLastAnswer != null;
+        return worker != null && worker.hasEverAnswered();
     }
 
     /** Returns whether the worker may have runs, of this owner or of an earlier one. */
--- a/library/src/main/java/io/radishspindle/pool/core/Recovery.java
+++ b/library/src/main/java/io/radishspindle/pool/core/Recovery.java
@@ -111,7 +111,10 @@
         return unseen;
     }
 
-    /** By tenant, the tasks of loaded jobs without a known run, but no more than fits on the silent workers. */
+    /**
+     * By tenant, the tasks of loaded jobs without a known run, but no more than fits on the silent workers if all of them
+     * are recorded.
+     */
     private Map<String, Resources> unseenRuns(long wallMs) {
         Map<String, Resources> byTenant = new HashMap<>();
         Map<String, Resources> reserved = new HashMap<>();
@@ -130,8 +133,9 @@
             }
         }
         Resources silent = silentCapacity();
-        reserved.forEach((tenant, amount) ->
-                byTenant.merge(tenant, workers.isEmpty() ? amount : amount.atMost(silent), Resources::plus));
+        boolean bounded = roster.isComplete() && !workers.isEmpty();
+        reserved.forEach(
+                (tenant, amount) -> byTenant.merge(tenant, bounded ? amount.atMost(silent) : amount, Resources::plus));
         lastStoppedWallMs.forEach((tenant, stoppedWallMs) -> {
             if (wallMs - stoppedWallMs < STOPPED_JOB_MS) {
                 byTenant.merge(tenant, silent, Resources::plus);
--- a/library/src/main/java/io/radishspindle/pool/core/TenantOrder.java
+++ b/library/src/main/java/io/radishspindle/pool/core/TenantOrder.java
@@ -46,7 +46,10 @@
         full = foundNoRoom;
     }
 
-    /** The tenants that rank behind the others, as the pool is full and they hold more than their part. */
+    /**
+     * The tenants that rank behind the others, as the pool is full and they hold more than their part. The pool has the
+     * capacity of the workers that have ever answered; a wrong count changes the order only.
+     */
     Set<String> behind(Collection<StepState> readySteps, Collection<WorkerState> workers) {
         Set<String> active = new HashSet<>();
         readySteps.forEach(step -> {
@@ -61,6 +64,9 @@
         Map<String, Resources> running = new HashMap<>();
         Resources capacity = Resources.NONE;
         for (WorkerState worker : workers) {
+            if (!worker.hasEverAnswered()) {
+                continue;
+            }
             capacity = capacity.plus(worker.entry.capacity());
             for (RunState run : worker.runs.values()) {
                 if (run.tenant != null) {
--- a/library/src/main/java/io/radishspindle/pool/core/Trials.java
+++ b/library/src/main/java/io/radishspindle/pool/core/Trials.java
@@ -145,9 +145,12 @@
         return !suspect.isPrimeSuspect() || prime < slots(idle ? SUSPECTS_DIVISOR : PRIME_SUSPECTS_DIVISOR);
     }
 
+    /** Counts the registered workers that have ever answered; a wrong count changes the pace of the trials only. */
     private long slots(int divisor) {
-        long listed = workers.values().stream().filter(worker -> worker.listed).count();
-        return Math.max(MIN_SLOTS, listed / divisor);
+        long registered = workers.values().stream()
+                .filter(worker -> worker.listed && worker.hasEverAnswered())
+                .count();
+        return Math.max(MIN_SLOTS, registered / divisor);
     }
 
     /** Whether less than half of what the usable workers have is in use, so that trials harm few others. */
--- a/library/src/main/java/io/radishspindle/pool/core/WorkerState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/WorkerState.java
@@ -117,6 +117,11 @@
         return answered && nowMs - lastAnswerMs < PoolTiming.UNRESPONSIVE_AFTER_MS;
     }
 
+    /** Whether an owner of the pool has ever got an answer, without which there may be no worker at all. */
+    boolean hasEverAnswered() {
+        return entryAtLastAnswer != null;
+    }
+
     /** Whether the last answer came from the address that is registered now. */
     boolean answeredAtItsAddress() {
         return entryAtLastAnswer != null && entry.isAtSameAddress(entryAtLastAnswer);
