Pass over removed entries without recursion, and log what a recovery waited for

FirstPolls went on to the next worker from within the poll of one that was not registered any more, so that many entries of another writer that are removed at once overflowed the stack (found by reading; the new case of FirstPollsTest with 100,000 entries failed with a StackOverflowError before). The loop goes on now instead.

pool-recovered tells the numbers of workers and of recorded ones that have not reported.

--- a/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
@@ -399,6 +399,11 @@
         return recovery.isActive(nowMs);
     }
 
+    /** Returns the number of recorded workers that have not reported since the takeover. */
+    public int silentWorkers() {
+        return recovery.silentWorkers();
+    }
+
     /** All workers with the runs that occupy or may occupy them. */
     Collection<WorkerState> workerStates() {
         return workers.values();
--- a/library/src/main/java/io/radishspindle/pool/core/Recovery.java
+++ b/library/src/main/java/io/radishspindle/pool/core/Recovery.java
@@ -86,6 +86,11 @@
         return roster.contains(worker.id()) && !worker.answered && !worker.replaced;
     }
 
+    /** Returns the number of recorded workers that have not reported; after the recovery, their leases have expired. */
+    int silentWorkers() {
+        return (int) workers.values().stream().filter(this::mayHaveUnknownRuns).count();
+    }
+
     /** Returns whether the worker may still report runs of an earlier owner. */
     boolean awaits(WorkerState worker, long nowMs) {
         return mayHaveUnknownRuns(worker) && isActive(nowMs);
--- a/library/src/main/java/io/radishspindle/pool/runtime/FirstPolls.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/FirstPolls.java
@@ -29,6 +29,7 @@
     private final Deque<String> waiting = new ArrayDeque<>();
     private final Set<String> inFlight = new HashSet<>();
     private final Map<String, Long> retryDelaysMs = new HashMap<>();
+    private boolean polling;
 
     /** @param poll polls the worker with an id, and calls {@link #onAnswered} or {@link #onFailed} later */
     FirstPolls(Vertx vertx, Consumer<String> poll) {
@@ -67,10 +68,19 @@
     }
 
     private void pollNext() {
-        while (inFlight.size() < MAX_IN_FLIGHT && !waiting.isEmpty()) {
-            String worker = waiting.remove();
-            inFlight.add(worker);
-            poll.accept(worker);
+        if (polling) {
+            // A poll has ended at once; the loop below goes on.
+            return;
+        }
+        polling = true;
+        try {
+            while (inFlight.size() < MAX_IN_FLIGHT && !waiting.isEmpty()) {
+                String worker = waiting.remove();
+                inFlight.add(worker);
+                poll.accept(worker);
+            }
+        } finally {
+            polling = false;
         }
     }
 }
--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
@@ -238,9 +238,11 @@
             recovered = true;
             storedRunTimes.start();
             Logger.info(
-                    "event=pool-recovered pool={} token={} took_ms={}",
+                    "event=pool-recovered pool={} token={} workers={} silent={} took_ms={}",
                     pool,
                     fencingToken,
+                    scheduler.workerIds().size(),
+                    scheduler.silentWorkers(),
                     clock.nowMs() - claimedAtMs);
         }
     }
--- a/library/src/test/java/io/radishspindle/pool/runtime/FirstPollsTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/FirstPollsTest.java
@@ -15,13 +15,21 @@
 class FirstPollsTest {
     private final Vertx vertx = Vertx.vertx();
     private final List<String> polled = new ArrayList<>();
-    private final FirstPolls polls = new FirstPolls(vertx, polled::add);
+    private final FirstPolls polls = new FirstPolls(vertx, this::poll);
+    private boolean unregistered;
 
     @AfterEach
     void closeVertx() {
         vertx.close().await();
     }
 
+    private void poll(String worker) {
+        polled.add(worker);
+        if (unregistered) {
+            polls.onAnswered(worker);
+        }
+    }
+
     private void add(int count) {
         for (int i = 0; i < count; i++) {
             polls.add("w" + i);
@@ -51,6 +59,21 @@
         assertThat(new HashSet<>(polled.subList(0, count))).hasSize(count);
     }
 
+    /** Guards against a StackOverflowError when many entries are removed at once. */
+    @Test
+    void should_pass_over_any_number_of_workers_that_are_not_registered_any_more() {
+        // given
+        int count = 100_000;
+        add(count);
+
+        // when
+        unregistered = true;
+        polls.onAnswered("w0");
+
+        // then
+        assertThat(polled).hasSize(count);
+    }
+
     @Test
     void should_go_on_with_the_next_one_once_a_worker_has_answered() {
         // given
