--- a/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
@@ -100,8 +100,8 @@
     }
 
     /**
-     * Starts the recovery after a takeover: tasks of loaded jobs wait until every recorded worker has reported its runs,
-     * or until all leases that the previous owner granted have certainly expired.
+     * Starts the recovery after a takeover: tasks of loaded jobs wait until every recorded worker has reported its
+     * runs, or until all leases that the previous owner granted have certainly expired.
      */
     public void beginRecovery(long nowMs) {
         order.onLoaded(unfinished.values());
@@ -151,8 +151,8 @@
     }
 
     /**
-     * Adds a worker that an earlier owner has recorded. It is asked for its runs even if its registration is missing, and
-     * gets new ones once it is registered.
+     * Adds a worker that an earlier owner has recorded. It is asked for its runs even if its registration is missing,
+     * and gets new ones once it is registered.
      */
     public void onWorkerRecorded(WorkerEntry recorded) {
         WorkerState worker = workers.get(recorded.id());
--- a/library/src/main/java/io/radishspindle/pool/core/Recovery.java
+++ b/library/src/main/java/io/radishspindle/pool/core/Recovery.java
@@ -9,10 +9,10 @@
  * The time after a takeover in which runs of the previous owner may be unknown. Belongs to its scheduler; not
  * thread-safe.
  *
- * <p>Invariant: until every recorded worker has reported or was replaced, or all leases that the previous owner may have
- * granted have expired, no task of a loaded job is started, and everything that loaded jobs may have running on silent
- * workers is reported to the limits of the tenants. Earlier owners have started runs on recorded workers only, so that a
- * registration counts neither if it is missing nor if no worker is behind it.
+ * <p>Invariant: until every recorded worker has reported or was replaced, or all leases that the previous owner may
+ * have granted have expired, no task of a loaded job is started, and everything that loaded jobs may have running on
+ * silent workers is reported to the limits of the tenants. Earlier owners have started runs on recorded workers only,
+ * so that a registration counts neither if it is missing nor if no worker is behind it.
  */
 final class Recovery {
     /** Longest time for which a run of the previous owner may outlast the loss of its workers, in milliseconds. */
@@ -117,8 +117,8 @@
     }
 
     /**
-     * By tenant, the tasks of loaded jobs without a known run, but no more than fits on the silent workers if all of them
-     * are recorded.
+     * By tenant, the tasks of loaded jobs without a known run, but no more than fits on the silent workers if all of
+     * them are recorded.
      */
     private Map<String, Resources> unseenRuns(long wallMs) {
         Map<String, Resources> byTenant = new HashMap<>();
--- a/library/src/main/java/io/radishspindle/pool/core/WorkerRoster.java
+++ b/library/src/main/java/io/radishspindle/pool/core/WorkerRoster.java
@@ -41,6 +41,8 @@
     /** Whether every later owner will find the worker at this address, so that it will know what is started there. */
     boolean mayStartOn(WorkerEntry worker);
 
-    /** Whether all workers on which earlier owners may have runs were recorded; releases before this one record none. */
+    /**
+     * Whether all workers on which earlier owners may have runs were recorded; releases before this one record none.
+     */
     boolean isComplete();
 }
--- a/library/src/main/java/io/radishspindle/pool/runtime/FirstPolls.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/FirstPolls.java
@@ -13,8 +13,8 @@
  * Limits the polls of registered workers that have never answered: any number of registrations may have no worker, and
  * each poll of one takes a connection until it times out. Confined to one event loop.
  *
- * <p>Invariants: at most {@link #MAX_IN_FLIGHT} of these polls are in flight; a registration that is polled in vain waits
- * behind all that are waiting, and ever longer.
+ * <p>Invariants: at most {@link #MAX_IN_FLIGHT} of these polls are in flight; a registration that is polled in vain
+ * waits behind all that are waiting, and ever longer.
  */
 final class FirstPolls {
     /** More than answer within the timeout of a poll in a pool of 300 workers that registers at once. */
--- a/library/src/main/java/io/radishspindle/pool/runtime/JobDirectory.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/JobDirectory.java
@@ -127,7 +127,9 @@
         return cancelled ? JobPhase.CANCELLED : saved.orElse(JobPhase.QUEUED);
     }
 
-    /** Number of jobs of a queue without a started task, from the owner or else from its last answer if it is current. */
+    /**
+     * Number of jobs of a queue without a started task, from the owner or else from its last answer if it is current.
+     */
     Future<Either<Failure, Integer>> pending(String pool, String queue) {
         String key = pool + "/" + queue;
         PoolOwner local = owned.get(pool);
--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
@@ -361,7 +361,9 @@
         scheduler.onWorkerUnregistered(workerId);
     }
 
-    /** Summary of a job as of the last moments; empty if it is unknown, or if this owner may have been replaced since. */
+    /**
+     * Summary of a job as of the last moments; empty if it is unknown, or if this owner may have been replaced since.
+     */
     Optional<JobSummary> currentSummary(String jobId) {
         return scheduler.hasQuorum(clock.nowMs()) ? summary(jobId) : Optional.empty();
     }
@@ -374,8 +376,8 @@
     }
 
     /**
-     * Number of jobs of a queue without a started task, as of the last time that this owner knew all accepted jobs; empty
-     * while it loads, and once that was too long ago because the store is unavailable or this VM was paused.
+     * Number of jobs of a queue without a started task, as of the last time that this owner knew all accepted jobs;
+     * empty while it loads, and once that was too long ago because the store is unavailable or this VM was paused.
      */
     Optional<PendingCount> pending(String queue) {
         if (!loaded) {
--- a/library/src/main/java/io/radishspindle/pool/runtime/StoredRoster.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/StoredRoster.java
@@ -27,10 +27,10 @@
  * Records the workers of one pool in the store, where the next owner finds those whose registrations are missing.
  * Confined to one event loop.
  *
- * <p>Invariants: every write is conditional on the claim and on the last known state of each record, so that an owner reads
- * after its claim all that earlier owners have recorded, and a write that is carried out late undoes nothing; a worker is
- * recorded only after it has answered, and removed only once it can't have runs; nothing is started on a worker before
- * its record is durable, nor while a write that removes it may take effect.
+ * <p>Invariants: every write is conditional on the claim and on the last known state of each record, so that an owner
+ * reads after its claim all that earlier owners have recorded, and a write that is carried out late undoes nothing; a
+ * worker is recorded only after it has answered, and removed only once it can't have runs; nothing is started on a
+ * worker before its record is durable, nor while a write that removes it may take effect.
  */
 final class StoredRoster implements WorkerRoster {
     /** Time before a failed write is repeated, in milliseconds. */
--- a/library/src/test/java/io/radishspindle/pool/runtime/LapsedRegistrationsTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/LapsedRegistrationsTest.java
@@ -13,8 +13,8 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
- * Guards against an owner that takes over while entries of workers are missing from the store, as they are for up to 2 s
- * after an outage, and starts the tasks again that run on the missing workers.
+ * Guards against an owner that takes over while entries of workers are missing from the store, as they are for up to 2
+ * s after an outage, and starts the tasks again that run on the missing workers.
  */
 class LapsedRegistrationsTest {
     private static final int WORKERS = 6;
--- a/library/src/test/java/io/radishspindle/pool/runtime/PoolOwnerFixture.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/PoolOwnerFixture.java
@@ -34,8 +34,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * An owner of a pool on an event loop of its own, with a store in memory and workers that run what they are told to. The
- * methods run on the loop but for {@link #onLoop}, {@link #awaitOnLoop} and {@link #close}.
+ * An owner of a pool on an event loop of its own, with a store in memory and workers that run what they are told to.
+ * The methods run on the loop but for {@link #onLoop}, {@link #awaitOnLoop} and {@link #close}.
  */
 final class PoolOwnerFixture {
     static final String POOL = "desk";
