Number the calls to a worker and log what shows the loss of a run

The logs can't tell whether a run was given up by a report that was requested after the answer to its order, or before it in the same millisecond: both have one time. Holds and answers get a number in the order in which the owner sends and receives them, and run-lost names both numbers. Decisions are unchanged. 196 tests of pool.core and pool.runtime that use holds pass.

--- a/library/src/main/java/io/radishspindle/pool/core/PoolAction.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolAction.java
@@ -46,13 +46,26 @@
      * @param ageMs milliseconds since the start was ordered
      * @param others other runs on the worker at that time
      * @param losses runs of the task that this owner has lost so far
+     * @param resolvedBy number of the answer to the last order about the run among the calls to its worker and the
+     *     answers from it; {@code Long.MAX_VALUE} while there is none
+     * @param shownBy number of the hold whose report lacks the run; {@code Long.MAX_VALUE} if another event shows the
+     *     loss
      */
-    record RunLost(Run run, WorkerEntry worker, String reason, long ageMs, int others, int losses)
+    record RunLost(
+            Run run,
+            WorkerEntry worker,
+            String reason,
+            long ageMs,
+            int others,
+            int losses,
+            long resolvedBy,
+            long shownBy)
             implements PoolAction {
-        static RunLost of(RunState run, String reason, long nowMs) {
+        static RunLost of(RunState run, String reason, long shownBy, long nowMs) {
             int losses = run.task == null ? 0 : run.task.lostRuns;
             int others = run.worker.runs.size() - 1;
-            return new RunLost(run.run, run.worker.entry, reason, nowMs - run.sentAtMs, others, losses);
+            return new RunLost(
+                    run.run, run.worker.entry, reason, nowMs - run.sentAtMs, others, losses, run.resolvedBy, shownBy);
         }
     }
 
--- a/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
@@ -223,9 +223,16 @@
     }
 
     /** Creates the next hold for a worker. The lease is renewed only if the worker has runs. */
-    public HoldOrder holdOrder(String workerId, long nowMs, long fencingToken) {
+    public SentHold holdOrder(String workerId, long nowMs, long fencingToken) {
         WorkerState worker = workers.get(workerId);
-        if (worker == null || !worker.answered) {
+        if (worker == null) {
+            return new SentHold(new HoldOrder(0, fencingToken, 0, 0), nowMs, EventSequence.BEFORE_ALL);
+        }
+        return new SentHold(holdOrder(worker, nowMs, fencingToken), nowMs, worker.calls.next());
+    }
+
+    private HoldOrder holdOrder(WorkerState worker, long nowMs, long fencingToken) {
+        if (!worker.answered) {
             return new HoldOrder(0, fencingToken, 0, 0);
         }
         // A worker that may be unreachable gets no further lease, so that its runs end at a known time.
@@ -246,13 +253,14 @@
     /**
      * Applies the report of a worker.
      *
-     * @param requestedAtMs when the hold was sent; runs that were resolved later may be missing from the report
+     * @param hold the hold that requested it, from {@link #holdOrder}; runs that were resolved after it was sent may be
+     *     missing from the report
      */
-    public void onHoldReply(String workerId, long requestedAtMs, WorkerReport report, long nowMs, long wallMs) {
+    public void onHoldReply(String workerId, SentHold hold, WorkerReport report, long nowMs, long wallMs) {
         WorkerState worker = workers.get(workerId);
         if (worker != null) {
-            events.onReport(worker, requestedAtMs, report, nowMs, wallMs);
-            if (requestedAtMs < trustedFromMs) {
+            events.onReport(worker, hold, report, nowMs, wallMs);
+            if (hold.sentAtMs() < trustedFromMs) {
                 worker.lastAnswerMs = Math.min(worker.lastAnswerMs, unresponsiveSince(trustedFromMs));
             }
         }
--- a/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
+++ b/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
@@ -68,7 +68,8 @@
         this.actions = actions;
     }
 
-    void onReport(WorkerState worker, long requestedAtMs, WorkerReport report, long nowMs, long wallMs) {
+    void onReport(WorkerState worker, SentHold hold, WorkerReport report, long nowMs, long wallMs) {
+        long requestedAtMs = hold.sentAtMs();
         if (worker.answered && report.bootWallMs() != worker.bootWallMs) {
             onNewIncarnation(worker, report, nowMs);
         }
@@ -100,7 +101,7 @@
             if (running != null) {
                 onRunPresent(run, running, requestedAtMs, nowMs);
             } else if (requestedAtMs >= run.resolvedAtMs) {
-                onRunAbsent(run, nowMs, wallMs);
+                onRunAbsent(run, hold, nowMs, wallMs);
             }
         }
         present.values().forEach(running -> adopt(worker, running, nowMs));
@@ -135,20 +136,20 @@
             attribution.onLost(worker, List.copyOf(worker.runs.values()), nowMs);
             actions.add(new PoolAction.WorkerChanged(worker.id(), "lost", reason));
             for (RunState run : List.copyOf(worker.runs.values())) {
-                lose(run, reason, nowMs, wallMs);
+                lose(run, reason, EventSequence.NEVER, nowMs, wallMs);
             }
         }
     }
 
-    /** Ends a run of which the worker reports no end. */
-    private void lose(RunState run, String reason, long nowMs, long wallMs) {
+    /** Ends a run of which the worker reports no end, after the event of a certain number. */
+    private void lose(RunState run, String reason, long shownBy, long nowMs, long wallMs) {
         if (run.task != null) {
             run.task.lostRuns++;
             if (run.task.crashRecord().isExposed(run.run.attempt())) {
                 run.task.crashRecord().endExposure();
                 jobEvents.markDirty(run.task.step.job);
             }
-            actions.add(PoolAction.RunLost.of(run, reason, nowMs));
+            actions.add(PoolAction.RunLost.of(run, reason, shownBy, nowMs));
         }
         finish(run, RunEnd.LEASE_EXPIRED, nowMs, wallMs);
     }
@@ -162,7 +163,7 @@
         }
         if (run.phase == Phase.STARTING || run.phase == Phase.UNRESOLVED) {
             run.phase = Phase.RUNNING;
-            run.resolvedAtMs = nowMs;
+            run.onResolved(nowMs);
         }
         run.startOutcomeUnknown = false;
         run.lastSeenMs = nowMs;
@@ -211,13 +212,13 @@
         }
     }
 
-    private void onRunAbsent(RunState run, long nowMs, long wallMs) {
+    private void onRunAbsent(RunState run, SentHold hold, long nowMs, long wallMs) {
         if (run.startOutcomeUnknown && !run.stopAccepted) {
             // An accepted stop prevents a start that arrives late from taking effect.
             stop(run, nowMs, "outcome of start is unknown");
             return;
         }
-        lose(run, "missing from a report", nowMs, wallMs);
+        lose(run, "missing from a report", hold.number(), nowMs, wallMs);
     }
 
     private void adopt(WorkerState worker, RunningTask running, long nowMs) {
@@ -231,7 +232,7 @@
         run.partial = true;
         run.charged = known == null ? Resources.NONE.atLeast(worker.free()) : known.step.spec.perTask();
         run.phase = Phase.RUNNING;
-        run.resolvedAtMs = nowMs;
+        run.onResolved(nowMs);
         run.onAccepted(nowMs);
         worker.occupy(run);
         if (needed && task != null) {
@@ -267,7 +268,7 @@
             if (run.phase == Phase.STARTING) {
                 run.phase = Phase.RUNNING;
             }
-            run.resolvedAtMs = nowMs;
+            run.onResolved(nowMs);
             return;
         }
         if (answer == null) {
@@ -275,7 +276,7 @@
             if (run.phase == Phase.STARTING) {
                 run.phase = Phase.UNRESOLVED;
             }
-            run.resolvedAtMs = nowMs;
+            run.onResolved(nowMs);
             return;
         }
         run.worker.release(run);
@@ -296,7 +297,7 @@
     void onStopReply(RunState run, @Nullable Answer answer, long nowMs) {
         if (answer == Answer.ACCEPTED || answer == Answer.OUTDATED) {
             run.stopAccepted = true;
-            run.resolvedAtMs = nowMs;
+            run.onResolved(nowMs);
         }
     }
 
--- a/library/src/main/java/io/radishspindle/pool/core/RunState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/RunState.java
@@ -49,6 +49,9 @@
     /** Absence from a report that was requested before this time doesn't show that the run has ended. */
     long resolvedAtMs;
 
+    /** Number of the answer or report that told the effect of the last order; see {@link EventSequence}. */
+    long resolvedBy = EventSequence.NEVER;
+
     /** The start order got no answer, so that it may still be executed. */
     boolean startOutcomeUnknown;
     /** The worker has accepted a stop, which also prevents a start that arrives later. */
@@ -100,6 +103,12 @@
         }
     }
 
+    /** The effect of the last order about the run, or the run itself, is known from now on. */
+    void onResolved(long nowMs) {
+        resolvedAtMs = nowMs;
+        resolvedBy = worker.calls.next();
+    }
+
     boolean isActive() {
         return phase == Phase.STARTING || phase == Phase.RUNNING;
     }
--- a/library/src/main/java/io/radishspindle/pool/core/WorkerState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/WorkerState.java
@@ -19,6 +19,7 @@
     final WorkerHealth health = new WorkerHealth();
     private final TenantLimits limits;
     private final WorkerRoster roster;
+    final EventSequence calls = new EventSequence();
     WorkerEntry entry;
     /** Whether the worker is registered in the store. */
     boolean listed = true;
--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolEventLog.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolEventLog.java
@@ -110,12 +110,16 @@
         return crashed.suspects().isEmpty() ? "none" : "shared";
     }
 
+    private static String number(long event) {
+        return event == Long.MAX_VALUE ? "none" : Long.toString(event);
+    }
+
     private void onRunLost(PoolAction.RunLost lost) {
         metrics.counter("pool.runs.lost").inc();
         if (log.allows("run-lost")) {
             Logger.info(
                     "event=run-lost run={} worker={} address={}:{} pool={} token={} age_ms={} others={} losses={}"
-                            + " reason=\"{}\"",
+                            + " answer_no={} report_no={} reason=\"{}\"",
                     lost.run(),
                     lost.worker().id(),
                     lost.worker().host(),
@@ -125,6 +129,8 @@
                     lost.ageMs(),
                     lost.others(),
                     lost.losses(),
+                    number(lost.resolvedBy()),
+                    number(lost.shownBy()),
                     lost.reason());
         }
     }
--- a/library/src/main/java/io/radishspindle/pool/runtime/WorkerSessions.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/WorkerSessions.java
@@ -5,11 +5,11 @@
 import io.radishspindle.platform.Clock;
 import io.radishspindle.pool.core.PoolScheduler;
 import io.radishspindle.pool.core.PoolTiming;
+import io.radishspindle.pool.core.SentHold;
 import io.radishspindle.pool.model.Run;
 import io.radishspindle.pool.model.WorkerEntry;
 import io.radishspindle.pool.port.WorkerControl;
 import io.radishspindle.pool.port.WorkerControl.Answer;
-import io.radishspindle.pool.port.WorkerControl.HoldOrder;
 import io.radishspindle.pool.port.WorkerControl.HoldReply;
 import io.radishspindle.pool.port.WorkerControl.Reply;
 import io.radishspindle.pool.port.WorkerControl.StartOrder;
@@ -121,22 +121,21 @@
             firstPolls.onAnswered(id);
             return;
         }
-        long sentAtMs = clock.nowMs();
-        HoldOrder order = scheduler.holdOrder(id, sentAtMs, fencingToken);
-        control.hold(worker, order).onSuccess(result -> {
+        SentHold hold = scheduler.holdOrder(id, clock.nowMs(), fencingToken);
+        control.hold(worker, hold.order()).onSuccess(result -> {
             long receivedAtMs = clock.nowMs();
             if (closed) {
                 return;
             }
             if (delivering) {
-                onHold(worker, sentAtMs, receivedAtMs, result);
+                onHold(worker, hold, receivedAtMs, result);
             } else {
-                buffered.add(() -> onHold(worker, sentAtMs, receivedAtMs, result));
+                buffered.add(() -> onHold(worker, hold, receivedAtMs, result));
             }
         });
     }
 
-    private void onHold(WorkerEntry worker, long sentAtMs, long receivedAtMs, Either<Failure, HoldReply> result) {
+    private void onHold(WorkerEntry worker, SentHold hold, long receivedAtMs, Either<Failure, HoldReply> result) {
         String id = worker.id();
         if (closed) {
             return;
@@ -144,7 +143,7 @@
         listener.beforeReport();
         if (result.isRight() && result.get().answer() == Answer.ACCEPTED) {
             firstPolls.onAnswered(id);
-            scheduler.onHoldReply(id, sentAtMs, result.get().report(), receivedAtMs, clock.wallMs());
+            scheduler.onHoldReply(id, hold, result.get().report(), receivedAtMs, clock.wallMs());
             listener.onReport();
             if (scheduler.awaitsDurability(id)) {
                 pollLater(id, PoolTiming.ACK_RETRY_MS);
@@ -158,7 +157,7 @@
             return;
         }
         boolean silent = result.isLeft() && result.getLeft().code() != ErrorCode.PEER_UNREACHABLE;
-        scheduler.onHoldFailed(id, sentAtMs, receivedAtMs, !silent);
+        scheduler.onHoldFailed(id, hold.sentAtMs(), receivedAtMs, !silent);
         if (result.isRight() && result.get().answer() == Answer.OTHER_BOOT) {
             scheduler.onWorkerReplaced(worker, clock.nowMs(), clock.wallMs());
             listener.onReport();
--- a/library/src/test/java/io/radishspindle/pool/core/InheritedGangTest.java
+++ b/library/src/test/java/io/radishspindle/pool/core/InheritedGangTest.java
@@ -36,7 +36,12 @@
     private void report(int worker, boolean runsMember) {
         Run run = new Run(new TaskName("g", 0, 0, worker), 1);
         List<RunningTask> running = runsMember ? List.of(new RunningTask(run, "", 100, 4_000)) : List.of();
-        scheduler.onHoldReply("w" + worker, nowMs, new WorkerReport(1, nowMs, running, List.of()), nowMs, nowMs);
+        scheduler.onHoldReply(
+                "w" + worker,
+                scheduler.holdOrder("w" + worker, nowMs, 1),
+                new WorkerReport(1, nowMs, running, List.of()),
+                nowMs,
+                nowMs);
     }
 
     private void passAfter(long durationMs) {
--- a/library/src/test/java/io/radishspindle/pool/core/PausedOwnerTest.java
+++ b/library/src/test/java/io/radishspindle/pool/core/PausedOwnerTest.java
@@ -25,7 +25,7 @@
     @BeforeEach
     void answerOnce() {
         scheduler.onWorkerRegistered(WORKER, nowMs);
-        scheduler.onHoldReply("w", nowMs, IDLE, nowMs, nowMs);
+        scheduler.onHoldReply("w", scheduler.holdOrder("w", nowMs, 1), IDLE, nowMs, nowMs);
         scheduler.submit(SimJobs.job("a", 0, nowMs, SimJobs.step(1, 1_000, 0, 100)));
     }
 
@@ -53,7 +53,7 @@
         scheduler.invalidateEarlierAnswers(nowMs);
 
         // when
-        scheduler.onHoldReply("w", sentAtMs, IDLE, nowMs, nowMs);
+        scheduler.onHoldReply("w", scheduler.holdOrder("w", sentAtMs, 1), IDLE, nowMs, nowMs);
 
         // then
         assertThat(starts()).isZero();
@@ -65,7 +65,7 @@
         scheduler.invalidateEarlierAnswers(nowMs);
 
         // when
-        scheduler.onHoldReply("w", nowMs, IDLE, nowMs + 5, nowMs + 5);
+        scheduler.onHoldReply("w", scheduler.holdOrder("w", nowMs, 1), IDLE, nowMs + 5, nowMs + 5);
         nowMs += 5;
 
         // then
--- a/library/src/test/java/io/radishspindle/pool/core/PoolSimulation.java
+++ b/library/src/test/java/io/radishspindle/pool/core/PoolSimulation.java
@@ -424,7 +424,8 @@
             after(latency(), () -> onHoldBroken(worker, owner, ownToken, nowMs));
             return;
         }
-        HoldOrder order = owner.holdOrder(id, nowMs, ownToken);
+        SentHold hold = owner.holdOrder(id, nowMs, ownToken);
+        HoldOrder order = hold.order();
         long sentAtMs = nowMs;
         long bootWallMs = worker.bootWallMs;
         long waitMs = worker.hasEnds() ? 0 : Math.min(order.waitMs(), 200);
@@ -443,7 +444,7 @@
                 var report = worker.report(nowMs);
                 after(latency(), () -> {
                     if (owner == scheduler) {
-                        owner.onHoldReply(id, sentAtMs, report, nowMs, nowMs);
+                        owner.onHoldReply(id, hold, report, nowMs, nowMs);
                         long pauseMs = owner.awaitsDurability(id) ? PoolTiming.ACK_RETRY_MS : 1;
                         after(pauseMs, () -> poll(id, owner, ownToken));
                     }
--- a/library/src/test/java/io/radishspindle/pool/core/RecordedWorkersTest.java
+++ b/library/src/test/java/io/radishspindle/pool/core/RecordedWorkersTest.java
@@ -68,7 +68,12 @@
         List<RunningTask> running = runs.getOrDefault(worker, List.of()).stream()
                 .map(run -> new RunningTask(run, "", 100, -1))
                 .toList();
-        scheduler.onHoldReply(worker, nowMs, new WorkerReport(1, nowMs, running, List.of()), nowMs, nowMs);
+        scheduler.onHoldReply(
+                worker,
+                scheduler.holdOrder(worker, nowMs, 1),
+                new WorkerReport(1, nowMs, running, List.of()),
+                nowMs,
+                nowMs);
     }
 
     /** Makes passes for a time in which some workers answer; returns the names of the tasks that are started. */
--- a/library/src/test/java/io/radishspindle/pool/core/ReplacedWorkerTest.java
+++ b/library/src/test/java/io/radishspindle/pool/core/ReplacedWorkerTest.java
@@ -36,7 +36,12 @@
     }
 
     private void answer(String id, RunningTask... running) {
-        scheduler.onHoldReply(id, nowMs, new WorkerReport(1, nowMs, List.of(running), List.of()), nowMs, nowMs);
+        scheduler.onHoldReply(
+                id,
+                scheduler.holdOrder(id, nowMs, 1),
+                new WorkerReport(1, nowMs, List.of(running), List.of()),
+                nowMs,
+                nowMs);
     }
 
     private List<String> startedOn() {
--- a/library/src/test/java/io/radishspindle/pool/core/ResizedWorkerTest.java
+++ b/library/src/test/java/io/radishspindle/pool/core/ResizedWorkerTest.java
@@ -44,7 +44,12 @@
 
     private void report(RunningTask... running) {
         nowMs += 10;
-        scheduler.onHoldReply("w", nowMs, new WorkerReport(1, nowMs, List.of(running), List.of()), nowMs, nowMs);
+        scheduler.onHoldReply(
+                "w",
+                scheduler.holdOrder("w", nowMs, 1),
+                new WorkerReport(1, nowMs, List.of(running), List.of()),
+                nowMs,
+                nowMs);
     }
 
     private List<String> started() {
@@ -116,7 +121,12 @@
         register(7_000);
         nowMs += 10;
         EndedRun done = new EndedRun(1, FIRST, RunEnd.DONE, "");
-        scheduler.onHoldReply("w", nowMs, new WorkerReport(1, nowMs, List.of(), List.of(done)), nowMs, nowMs);
+        scheduler.onHoldReply(
+                "w",
+                scheduler.holdOrder("w", nowMs, 1),
+                new WorkerReport(1, nowMs, List.of(), List.of(done)),
+                nowMs,
+                nowMs);
 
         // then
         assertThat(started()).isEmpty();
--- a/library/src/test/java/io/radishspindle/pool/core/UnknownRunsTest.java
+++ b/library/src/test/java/io/radishspindle/pool/core/UnknownRunsTest.java
@@ -44,7 +44,8 @@
         List<RunningTask> running = Arrays.stream(indices)
                 .mapToObj(index -> new RunningTask(new Run(new TaskName("ended", 0, 0, index), 1), "", 100, 8_000))
                 .toList();
-        scheduler.onHoldReply("w", nowMs, new WorkerReport(1, nowMs, running, List.of()), nowMs, nowMs);
+        scheduler.onHoldReply(
+                "w", scheduler.holdOrder("w", nowMs, 1), new WorkerReport(1, nowMs, running, List.of()), nowMs, nowMs);
         nowMs += 50;
     }
 
--- a/library/src/test/java/io/radishspindle/pool/runtime/QuotaKeeperTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/QuotaKeeperTest.java
@@ -90,7 +90,8 @@
             long untilMs = clock.nowMs + durationMs;
             while (clock.nowMs < untilMs) {
                 WorkerReport idle = new WorkerReport(1, clock.nowMs, List.of(), List.of());
-                scheduler.onHoldReply(WORKER.id(), clock.nowMs, idle, clock.nowMs, clock.nowMs);
+                scheduler.onHoldReply(
+                        WORKER.id(), scheduler.holdOrder(WORKER.id(), clock.nowMs, 1), idle, clock.nowMs, clock.nowMs);
                 quota.update(scheduler);
                 clock.nowMs += 50;
             }
--- a/library/src/test/java/io/radishspindle/pool/runtime/StoredRosterTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/StoredRosterTest.java
@@ -64,7 +64,8 @@
 
     private void answer(String worker) {
         WorkerReport report = new WorkerReport(1, clock.nowMs(), List.of(), List.of());
-        scheduler.onHoldReply(worker, clock.nowMs(), report, clock.nowMs(), clock.nowMs());
+        scheduler.onHoldReply(
+                worker, scheduler.holdOrder(worker, clock.nowMs(), 1), report, clock.nowMs(), clock.nowMs());
     }
 
     private List<WorkerEntry> loadedByNextOwner() {
