Store each job under the condition of one claim

A job that was stored around a takeover could be started by two owners: an entry VM with an old view tells the replaced owner, which still has a majority by earlier answers, and the new one finds the job after its listing and takes it for its own. The write of a job is conditional now on the claim that the VM knows, and the item and the message to the owner name that claim. So a job of an earlier claim is in the listing of every later owner and waits for the recovery, and one that was stored under a later claim shows an owner that it was replaced. Items of earlier releases name no claim; their jobs wait for the recovery too. No case can fail on the code before, which has no claims in items.

--- a/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
@@ -110,12 +110,21 @@
         attribution.onInherited(unfinished.values(), nowMs);
     }
 
-    /** Adds a new job; returns false if it is already known. */
+    /** Adds a new job that no other owner knows; returns false if it is already known. */
     public boolean submit(PoolJob job) {
+        return submit(job, false);
+    }
+
+    /**
+     * Adds a new job; returns false if it is already known.
+     *
+     * @param mayHaveRuns whether an earlier owner may have started it
+     */
+    public boolean submit(PoolJob job, boolean mayHaveRuns) {
         if (isKnown(job.id())) {
             return false;
         }
-        JobState state = new JobState(job, false, durations);
+        JobState state = new JobState(job, mayHaveRuns, durations);
         order.onArrival(state);
         jobs.put(job.id(), state);
         unfinished.put(job.id(), state);
--- a/library/src/main/java/io/radishspindle/pool/runtime/ControlView.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/ControlView.java
@@ -128,6 +128,12 @@
         return Optional.ofNullable(owners.get(pool));
     }
 
+    /** Fencing token of the claim on a pool; 0 if there is none. */
+    long claim(String pool) {
+        Ownership ownership = owners.get(pool);
+        return ownership == null ? 0 : ownership.revision();
+    }
+
     Map<String, Ownership> owners() {
         return owners;
     }
--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolNode.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolNode.java
@@ -114,7 +114,8 @@
         election = new OwnerElection(clock, store, view, self, lease, messenger, this::onClaimed);
         channel = new AdviceChannel(clock, adviceService);
         advice = new AdviceDispatcher(clock, channel, messenger, self, view, this::sliceNames);
-        intake = new JobIntake(vertx, clock, store, this::notifyOwner, store::isDirectPathDown, store::retryAfterMs);
+        intake = new JobIntake(
+                vertx, clock, store, view, this::notifyOwner, store::isDirectPathDown, store::retryAfterMs);
         directory = new JobDirectory(clock, store, messenger, view, self, owned);
         configRelay = new ConfigRelay(vertx, clock, store, messenger, view, self, this::hasFreshConfig);
         workers = new RegisteredWorkers(codec, slices, this::ownerOf);
@@ -249,16 +250,17 @@
         return Future.succeededFuture(Either.left(notReady()));
     }
 
-    private void notifyOwner(PoolJob job) {
-        PoolOwner local = owned.get(job.pool());
+    private void notifyOwner(JobStored stored) {
+        String pool = stored.job().pool();
+        PoolOwner local = owned.get(pool);
         if (local != null) {
-            local.onJobStored(job);
+            local.onJobStored(stored.job(), stored.claim());
             return;
         }
-        view.owner(job.pool())
+        view.owner(pool)
                 .map(ownership -> ownership.owner().vmId())
                 .filter(vm -> !vm.equals(self.vmId()))
-                .ifPresent(vm -> messenger.send(vm, new JobStored(job)));
+                .ifPresent(vm -> messenger.send(vm, stored));
     }
 
     private void onClaimed(String pool, long fencingToken) {
@@ -311,7 +313,7 @@
 
     private void registerHandlers() {
         messenger.handle(JobStored.class, (vm, message) -> {
-            ownerOf(message.job().pool()).ifPresent(owner -> owner.onJobStored(message.job()));
+            ownerOf(message.job().pool()).ifPresent(owner -> owner.onJobStored(message.job(), message.claim()));
             return done();
         });
         messenger.handle(CancelStored.class, (vm, message) -> {
--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
@@ -337,8 +337,11 @@
                 });
     }
 
-    void onJobStored(PoolJob job) {
-        if (loaded && scheduler.submit(job)) {
+    /** @param claim claim under which the job was stored; 0 if it is unknown or there was none */
+    void onJobStored(PoolJob job, long claim) {
+        onClaimSeen(claim);
+        boolean mayHaveRuns = claim != fencingToken;
+        if (!closed && loaded && scheduler.submit(job, mayHaveRuns)) {
             requestPass();
         }
     }
@@ -395,10 +398,10 @@
         return pool;
     }
 
-    /** The claim in force has this revision, or a later one. */
+    /** A claim of this revision has been in force. */
     void onClaimSeen(long revision) {
         if (revision > fencingToken) {
-            closeAsSuperseded("the store has a claim of revision " + revision);
+            closeAsSuperseded("the pool has a claim of revision " + revision);
         }
     }
 
@@ -482,7 +485,8 @@
             if (StoreKeys.isCancellation(pool, item.key())) {
                 onCancelStored(StoreKeys.lastPart(item.key()));
             } else if (!scheduler.isKnown(StoreKeys.lastPart(item.key()))) {
-                StoredJobs.unfinishedJob(item).ifPresent(PoolOwner.this::onJobStored);
+                long claim = Records.claimOfJob(item.key(), value);
+                StoredJobs.unfinishedJob(item).ifPresent(job -> onJobStored(job, claim));
             }
         }
     }
--- a/library/src/main/java/io/radishspindle/pool/runtime/Records.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/Records.java
@@ -3,7 +3,9 @@
 import com.fasterxml.jackson.annotation.JsonFormat;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.radishspindle.pool.model.JobPhase;
+import io.radishspindle.pool.model.PoolJob;
 import io.vavr.control.Try;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -44,6 +46,9 @@
     /** The tenant of a stored job that has not ended, read without its other fields. */
     private record JobTenant(@Nullable String tenant) {}
 
+    /** The claim on the pool when an unfinished job was stored, read without the job; see {@link #encode(PoolJob, long)}. */
+    private record JobClaim(long claim) {}
+
     /** Number of slices of a pool. */
     record Slices(int count) {}
 
@@ -69,6 +74,23 @@
         }
     }
 
+    /**
+     * Encodes an unfinished job.
+     *
+     * @param claim fencing token of the claim on its pool on which the write is conditional; 0 for no claim
+     */
+    static byte[] encode(PoolJob job, long claim) {
+        ObjectNode fields = MAPPER.valueToTree(job);
+        return encode(fields.put("claim", claim));
+    }
+
+    /** Claim under which an unfinished job was stored; 0 if there was none or an earlier release stored it. */
+    static long claimOfJob(String key, byte[] value) {
+        return isEndedJob(value)
+                ? 0
+                : decode(key, value, JobClaim.class).map(JobClaim::claim).getOrElse(0L);
+    }
+
     /** Whether the value of a job's key is an {@link EndedJob}; unfinished jobs are encoded as maps, not arrays. */
     static boolean isEndedJob(byte[] value) {
         return value.length > 0 && MessagePack.Code.isFixedArray(value[0]);
--- a/library/src/main/java/io/radishspindle/protocol/message/PoolMessages.java
+++ b/library/src/main/java/io/radishspindle/protocol/message/PoolMessages.java
@@ -10,8 +10,13 @@
 public final class PoolMessages {
     private PoolMessages() {}
 
-    /** Notifies the owner of a pool that a job has been stored; if it is lost, the owner's watch finds the job. */
-    public record JobStored(PoolJob job) implements PeerMessage {}
+    /**
+     * Notifies the owner of a pool that a job has been stored; if it is lost, the owner's watch finds the job.
+     *
+     * @param claim fencing token of the claim on the pool that was in force when the job was stored; 0 if there was
+     *     none, or if the sender is of an earlier release
+     */
+    public record JobStored(PoolJob job, long claim) implements PeerMessage {}
 
     /** Notifies the owner of a pool that the cancellation of a job has been stored. */
     public record CancelStored(String pool, String jobId) implements PeerMessage {}
--- a/library/src/test/java/io/radishspindle/pool/runtime/JobIntakeTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/JobIntakeTest.java
@@ -8,7 +8,9 @@
 import io.radishspindle.platform.SystemClock;
 import io.radishspindle.pool.model.PoolJob;
 import io.radishspindle.pool.model.StepSpec;
+import io.radishspindle.pool.port.SharedStore.Item;
 import io.radishspindle.pool.runtime.FakeSharedStore.Fault;
+import io.radishspindle.protocol.message.PoolMessages.JobStored;
 import io.vavr.control.Either;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
@@ -16,6 +18,7 @@
 import io.vertx.core.Vertx;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.stream.IntStream;
@@ -33,7 +36,8 @@
 
     private final FakeSharedStore store = new FakeSharedStore();
     private final SystemClock clock = new SystemClock();
-    private final List<String> storedIds = new ArrayList<>();
+    private final ControlView view = new ControlView(clock);
+    private final List<JobStored> stored = new ArrayList<>();
     private boolean storeUnavailable;
     private Vertx vertx;
     private Context context;
@@ -43,8 +47,7 @@
     void createIntake() {
         vertx = Vertx.vertx();
         context = vertx.getOrCreateContext();
-        intake =
-                new JobIntake(vertx, clock, store, job -> storedIds.add(job.id()), () -> storeUnavailable, () -> 2_000);
+        intake = new JobIntake(vertx, clock, store, view, stored::add, () -> storeUnavailable, () -> 2_000);
     }
 
     @AfterEach
@@ -89,7 +92,7 @@
         // then
         assertThat(store.items).hasSize(30);
         assertThat(store.calls).isLessThan(5);
-        assertThat(storedIds).hasSize(30);
+        assertThat(stored).hasSize(30);
     }
 
     @Test
@@ -166,7 +169,7 @@
 
         // then
         assertThat(result.isRight()).isTrue();
-        assertThat(storedIds).containsExactly("j");
+        assertThat(stored).extracting(message -> message.job().id()).containsExactly("j");
     }
 
     @Test
@@ -196,4 +199,41 @@
         assertThat(result.getLeft().notRun()).isFalse();
         assertThat(store.calls).isEqualTo(1);
     }
+
+    private void claim(long revision) {
+        String key = StoreKeys.owner("pool");
+        store.items.put(key, new Item(key, Records.encode(new Records.Owner("vm", "1")), revision));
+    }
+
+    private long claimOfStoredJob() {
+        Item item = Objects.requireNonNull(store.items.get(StoreKeys.job("pool", "j")));
+        return Records.claimOfJob(item.key(), Objects.requireNonNull(item.value()));
+    }
+
+    /** Guards against a job that a replaced owner and the new one both take for their own, and both start. */
+    @ParameterizedTest
+    @CsvSource({"NONE, 6, 6", "REJECT, 0, 0", "LOSE_CALL, 6, 6", "LOSE_ANSWER, 5, 5"})
+    void should_name_the_claim_that_was_in_force_when_the_job_was_stored(Fault first, long inItem, long announced)
+            throws TimeoutException {
+        // given a claim that is replaced at the first attempt, after it if the store carries that out
+        claim(5);
+        view.onChanged(Objects.requireNonNull(store.items.get(StoreKeys.owner("pool"))));
+        store.firstFaults.add(first);
+        if (first == Fault.LOSE_ANSWER) {
+            store.beforeNextTransaction = () -> store.beforeNextTransaction = () -> claim(6);
+        } else {
+            claim(6);
+        }
+
+        // when
+        Either<Failure, PoolJob> result = submit("j");
+        store.lostCalls.forEach(Runnable::run);
+
+        // then
+        assertThat(result.isRight()).isEqualTo(first != Fault.REJECT);
+        assertThat(stored)
+                .extracting(JobStored::claim)
+                .containsExactlyElementsOf(announced == 0 ? List.of() : List.of(announced));
+        assertThat(inItem == 0 ? 0 : claimOfStoredJob()).isEqualTo(inItem);
+    }
 }
--- a/library/src/test/java/io/radishspindle/pool/runtime/PoolOwnerFixture.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/PoolOwnerFixture.java
@@ -98,12 +98,14 @@
     final FakeSharedStore store = new FakeSharedStore();
     final BusyWorkers workers = new BusyWorkers();
     PoolOwner owner;
+    private long token;
 
     void close() {
         vertx.close().await();
     }
 
     void createOwner(long token) {
+        this.token = token;
         store.watchesWait = true;
         store.items.put(
                 StoreKeys.owner(POOL),
@@ -152,7 +154,7 @@
     void submit(String id) {
         String key = StoreKeys.job(POOL, id);
         store.items.put(key, new Item(key, Records.encode(job(id)), 5));
-        owner.onJobStored(job(id));
+        owner.onJobStored(job(id), token);
     }
 
     static List<WorkerEntry> entries(String prefix, int count, int tasks) {
--- a/library/src/test/java/io/radishspindle/pool/runtime/PortionedLoadTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/PortionedLoadTest.java
@@ -230,13 +230,13 @@
             owner.start(List.of());
             store(StoreKeys.job(POOL, "late"), Records.encode(late), 11);
             store(StoreKeys.cancellation(POOL, id(3)), new byte[] {1}, 12);
-            owner.onJobStored(late);
+            owner.onJobStored(late, 2);
             owner.onCancelStored(id(3));
             return phase(0).isPresent();
         });
         awaitOnLoop(() -> owner.summary("late").isPresent());
         onLoop(() -> {
-            owner.onJobStored(late);
+            owner.onJobStored(late, 2);
             return true;
         });
 
