Count every run of a task and every reported end, and name one rule for starts

What this owner doesn't know was taken for not there: a run that workers reported beside the run of its task, or of a job that the owner did not know yet, counted for nothing, so that the task was started beside it; its end `done` was dropped and then acknowledged, so that the task was started after it. Now all runs count by task (ActiveRuns), every end is applied to its task, and the ends of unknown jobs are kept until the job is known. A job of an earlier claim waits for the recovery like a loaded one. StartPermission holds the invariant who may start a task and why nobody else can. JobOfEarlierOwnerTest submits the job as one of an earlier claim now: a job of the owner's own claim can't be known to another owner since its write is conditional on the claim.

--- a/library/src/main/java/io/radishspindle/pool/core/JobEvents.java
+++ b/library/src/main/java/io/radishspindle/pool/core/JobEvents.java
@@ -36,7 +36,7 @@
     }
 
     /** Applies the end of a run to its task. */
-    void apply(TaskState task, int attempt, RunEnd end, WorkerState worker, long nowMs, long wallMs) {
+    void apply(TaskState task, int attempt, RunEnd end, long nowMs, long wallMs) {
         StepState step = task.step;
         JobState job = step.job;
         if (!job.isUnfinished()) {
--- a/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
@@ -47,7 +47,9 @@
     private final Trials trials;
     private final ProgressLedger progress;
     private final Recovery recovery;
+    private final ActiveRuns activeRuns = new ActiveRuns();
     private final Quorum quorum;
+    private final StartPermission permission;
     private final TenantOrder order;
     /** Answers to holds that were sent before this time don't prove that the owner still owns the pool. */
     private long trustedFromMs = Long.MIN_VALUE;
@@ -64,11 +66,12 @@
         jobEvents = new JobEvents(unfinished, dirty, actions);
         attribution = new CrashAttribution(workers, dirty, jobEvents, actions);
         trials = new Trials(workers, dirty);
-        events = new RunEvents(jobs, unfinished, jobEvents, actions, durations, this::tenantOf, attribution, trials);
+        events = new RunEvents(jobs, unfinished, jobEvents, actions, durations, this::isKnown, this::tenantOf, attribution, trials);
         progress = new ProgressLedger(jobs, workers, dirty);
         order = new TenantOrder(options.weights());
         recovery = new Recovery(workers, unfinished, options.limits(), options.roster());
         quorum = new Quorum(options.roster());
+        permission = new StartPermission(quorum, recovery, activeRuns);
     }
 
     /** Adds a stored job, which an earlier owner may have started. */
@@ -112,25 +115,30 @@
 
     /** Adds a new job that no other owner knows; returns false if it is already known. */
     public boolean submit(PoolJob job) {
-        return submit(job, false);
+        if (isKnown(job.id())) {
+            return false;
+        }
+        add(new JobState(job, false, durations));
+        return true;
     }
 
-    /**
-     * Adds a new job; returns false if it is already known.
-     *
-     * @param mayHaveRuns whether an earlier owner may have started it
-     */
-    public boolean submit(PoolJob job, boolean mayHaveRuns) {
+    /** Adds a new job that an earlier owner may have started; returns false if it is already known. */
+    public boolean submitInherited(PoolJob job, long nowMs, long wallMs) {
         if (isKnown(job.id())) {
             return false;
         }
-        JobState state = new JobState(job, mayHaveRuns, durations);
-        order.onArrival(state);
-        jobs.put(job.id(), state);
-        unfinished.put(job.id(), state);
+        JobState state = new JobState(job, true, durations);
+        add(state);
+        events.onJobKnown(state, nowMs, wallMs);
         return true;
     }
 
+    private void add(JobState state) {
+        order.onArrival(state);
+        jobs.put(state.job.id(), state);
+        unfinished.put(state.job.id(), state);
+    }
+
     /** Cancels a job whose cancellation is durable; returns false if it is unknown or has ended. */
     public boolean cancel(String jobId, long wallMs) {
         JobState job = jobs.get(jobId);
@@ -146,7 +154,7 @@
     public void onWorkerRegistered(WorkerEntry entry, long nowMs) {
         WorkerState worker = workers.get(entry.id());
         if (worker == null) {
-            workers.put(entry.id(), new WorkerState(entry, options.limits(), options.roster()));
+            workers.put(entry.id(), newWorker(entry));
             return;
         }
         if (!entry.isSameIncarnation(worker.entry)) {
@@ -166,7 +174,7 @@
     public void onWorkerRecorded(WorkerEntry recorded) {
         WorkerState worker = workers.get(recorded.id());
         if (worker == null) {
-            worker = new WorkerState(recorded, options.limits(), options.roster());
+            worker = newWorker(recorded);
             worker.listed = false;
             workers.put(recorded.id(), worker);
         }
@@ -175,6 +183,10 @@
         }
     }
 
+    private WorkerState newWorker(WorkerEntry entry) {
+        return new WorkerState(entry, options.limits(), options.roster(), activeRuns);
+    }
+
     /** Handles a removed registration: the worker gets no more work, and its runs end when their lease expires. */
     public void onWorkerUnregistered(String workerId) {
         WorkerState worker = workers.get(workerId);
@@ -214,7 +226,7 @@
 
     /** Returns whether a majority of the recorded workers responds; without it another owner may exist. */
     public boolean hasQuorum(long nowMs) {
-        return quorum.isReached(workers.values(), nowMs);
+        return permission.mayStartAny(workers.values(), nowMs);
     }
 
     /**
@@ -368,6 +380,7 @@
                     options.limits(),
                     ends,
                     preemption,
+                    permission,
                     trials,
                     dirty);
             List<StepState> ready = readySteps(nowMs, wallMs);
@@ -392,10 +405,9 @@
     }
 
     private List<StepState> readySteps(long nowMs, long wallMs) {
-        boolean recovering = isRecovering(nowMs);
         List<StepState> ready = new ArrayList<>();
         for (JobState job : unfinished.values()) {
-            if (recovering && job.inherited) {
+            if (!permission.mayStartTasksOf(job, nowMs)) {
                 continue;
             }
             for (StepState step : job.steps) {
--- a/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
+++ b/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
@@ -16,15 +16,16 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 
 /**
  * Applies the reports of workers and their answers to orders to the runs. Belongs to its scheduler; not thread-safe.
  *
- * <p>Invariant: a run is released only by a reported end, by its absence from a report that was requested after the
- * last order about it was answered, by a rejected start, by a new incarnation of its worker, or by the expiry of
- * all leases of its worker.
+ * <p>Invariants: a run is released only by a reported end, by its absence from a report that was requested
+ * after the last order about it was answered, by a rejected start, or by the expiry of all leases of its worker; the end of every run is applied to its task, also if the task has
+ * another run, or if its job becomes known later.
  */
 final class RunEvents {
     /** Time after which a stop without effect is retried, in milliseconds. */
@@ -45,21 +46,28 @@
     private final CrashAttribution attribution;
     private final Trials trials;
     private final Function<String, Optional<String>> tenantOf;
+    private final Predicate<String> isKnown;
+    private final UnknownJobEnds unknownJobEnds = new UnknownJobEnds();
     /** Whether the ends in the current report have just happened. */
     private boolean endsAreFresh;
 
-    /** @param tenantOf finds the tenant of a job, unfinished or ended, by the id of the job */
+    /**
+     * @param isKnown whether a job, unfinished or ended, is known
+     * @param tenantOf finds the tenant of a job, unfinished or ended, by the id of the job
+     */
     RunEvents(
             Map<String, JobState> jobs,
             Map<String, JobState> unfinished,
             JobEvents jobEvents,
             List<PoolAction> actions,
             DurationStats durations,
+            Predicate<String> isKnown,
             Function<String, Optional<String>> tenantOf,
             CrashAttribution attribution,
             Trials trials) {
         this.attribution = attribution;
         this.trials = trials;
+        this.isKnown = isKnown;
         this.tenantOf = tenantOf;
         this.durations = durations;
         this.jobs = jobs;
@@ -107,6 +115,11 @@
         present.values().forEach(running -> adopt(worker, running, nowMs));
     }
 
+    /** Applies the ends of runs that were reported before this job was known. */
+    void onJobKnown(JobState job, long nowMs, long wallMs) {
+        unknownJobEnds.take(job.job.id()).forEach(ended -> applyUntracked(ended, nowMs, wallMs));
+    }
+
     /** Runs of the earlier incarnation are missing from the report; a start just sent may belong to the new one. */
     private void onNewIncarnation(WorkerState worker, WorkerReport report, long nowMs) {
         Set<Run> present = report.running().stream().map(RunningTask::run).collect(Collectors.toSet());
@@ -235,10 +248,11 @@
         run.onResolved();
         run.onAccepted(nowMs);
         worker.occupy(run);
+        if (task != null) {
+            raiseAttempt(task, running.run().attempt());
+        }
         if (needed && task != null) {
             task.run = run;
-            task.lastAttempt = Math.max(task.lastAttempt, running.run().attempt());
-            task.step.highestAttempt = Math.max(task.step.highestAttempt, task.lastAttempt);
             if (!running.checkpoint().isEmpty()) {
                 JobEvents.keepCheckpoint(task, running.checkpoint());
             }
@@ -279,12 +293,11 @@
             run.onResolved();
             return;
         }
-        run.worker.release(run);
         TaskState task = run.task;
-        if (task == null || task.run != run) {
+        free(run);
+        if (task == null) {
             return;
         }
-        task.run = null;
         StepState step = task.step;
         switch (answer) {
             case OUTDATED -> step.tasks.forEach(t -> t.lastAttempt += PoolTiming.ATTEMPT_GAP);
@@ -294,6 +307,19 @@
         }
     }
 
+    /** Releases a run that was never executed. */
+    private static void free(RunState run) {
+        run.worker.release(run);
+        if (run.task != null && run.task.run == run) {
+            run.task.run = null;
+        }
+    }
+
+    private static void raiseAttempt(TaskState task, int attempt) {
+        task.lastAttempt = Math.max(task.lastAttempt, attempt);
+        task.step.highestAttempt = Math.max(task.step.highestAttempt, task.lastAttempt);
+    }
+
     void onStopReply(RunState run, @Nullable Answer answer, long nowMs) {
         if (answer == Answer.ACCEPTED || answer == Answer.OUTDATED) {
             run.stopAccepted = true;
@@ -303,19 +329,37 @@
 
     private void onRunEnded(WorkerState worker, EndedRun ended, long nowMs, long wallMs) {
         RunState run = worker.runs.get(ended.run());
-        TaskState task = find(unfinished, ended.run().task());
-        if (task != null) {
-            task.lastAttempt = Math.max(task.lastAttempt, ended.run().attempt());
-            task.step.highestAttempt = Math.max(task.step.highestAttempt, task.lastAttempt);
-            if (!ended.checkpoint().isEmpty()) {
-                JobEvents.keepCheckpoint(task, ended.checkpoint());
+        if (run == null || run.task == null) {
+            if (run != null) {
+                worker.release(run);
             }
+            applyUntracked(ended, nowMs, wallMs);
+            return;
+        }
+        raiseAttempt(run.task, ended.run().attempt());
+        if (!ended.checkpoint().isEmpty()) {
+            JobEvents.keepCheckpoint(run.task, ended.checkpoint());
+        }
+        finish(run, ended.end(), nowMs, wallMs);
+    }
+
+    /** Applies the end of a run that is not the run of its task: an earlier owner has started it. */
+    private void applyUntracked(EndedRun ended, long nowMs, long wallMs) {
+        if (!isKnown.test(ended.run().task().jobId())) {
+            unknownJobEnds.add(ended);
+            return;
+        }
+        TaskState task = find(unfinished, ended.run().task());
+        if (task == null) {
+            return;
+        }
+        raiseAttempt(task, ended.run().attempt());
+        if (!ended.checkpoint().isEmpty()) {
+            JobEvents.keepCheckpoint(task, ended.checkpoint());
         }
-        if (run != null) {
-            finish(run, ended.end(), nowMs, wallMs);
-        } else if (task != null) {
-            // The end of a run that this owner doesn't track: an earlier owner has not acknowledged it.
-            jobEvents.apply(task, ended.run().attempt(), ended.end(), worker, nowMs, wallMs);
+        jobEvents.apply(task, ended.run().attempt(), ended.end(), nowMs, wallMs);
+        if (task.done && task.run != null) {
+            stopIfRunning(task.run, nowMs, "another run of the task has succeeded");
         }
     }
 
@@ -336,7 +380,7 @@
         } else {
             durations.onStopped(run, task.step);
         }
-        jobEvents.apply(task, run.run.attempt(), end, run.worker, nowMs, wallMs);
+        jobEvents.apply(task, run.run.attempt(), end, nowMs, wallMs);
     }
 
     private void stop(RunState run, long nowMs, String reason) {
--- a/library/src/main/java/io/radishspindle/pool/core/SchedulingPass.java
+++ b/library/src/main/java/io/radishspindle/pool/core/SchedulingPass.java
@@ -30,6 +30,7 @@
     private final CapacityForecast forecast;
     private final ApprovalRates approvals;
     private final LimitedStarts limits;
+    private final StartPermission permission;
     private final Trials trials;
     private final TrialPlacement trialPlacement;
     private final Set<JobState> dirty;
@@ -46,8 +47,10 @@
             TenantLimits limits,
             ExpectedEnds ends,
             PreemptionBudget budget,
+            StartPermission permission,
             Trials trials,
             Set<JobState> dirty) {
+        this.permission = permission;
         this.trials = trials;
         this.dirty = dirty;
         this.limits = new LimitedStarts(limits, nowMs);
@@ -114,7 +117,7 @@
         boolean heldBack = trials.holdsBack(step, nowMs);
         int waiting = 0;
         for (TaskState task : step.tasks) {
-            if (!task.isWaiting() || nowMs < task.earliestStartMs) {
+            if (!permission.mayStart(task) || nowMs < task.earliestStartMs) {
                 continue;
             }
             boolean suspect = task.crashRecord().isSuspect();
@@ -172,7 +175,7 @@
     }
 
     private void placeGang(StepState step) {
-        if (step.hasRuns() || step.tasks.stream().anyMatch(task -> nowMs < task.earliestStartMs)) {
+        if (step.tasks.stream().anyMatch(task -> !permission.mayStart(task) || nowMs < task.earliestStartMs)) {
             return;
         }
         boolean suspect = step.tasks.get(0).crashRecord().isSuspect();
--- a/library/src/main/java/io/radishspindle/pool/core/WorkerState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/WorkerState.java
@@ -17,9 +17,12 @@
 final class WorkerState {
     final Map<Run, RunState> runs = new LinkedHashMap<>();
     final WorkerHealth health = new WorkerHealth();
+    /** The calls to the worker and the answers from it. */
+    final EventSequence calls = new EventSequence();
+
     private final TenantLimits limits;
     private final WorkerRoster roster;
-    final EventSequence calls = new EventSequence();
+    private final ActiveRuns activeRuns;
     WorkerEntry entry;
     /** Whether the worker is registered in the store. */
     boolean listed = true;
@@ -56,10 +59,11 @@
     long drainingSinceMs = -1;
     Resources used = Resources.NONE;
 
-    WorkerState(WorkerEntry entry, TenantLimits limits, WorkerRoster roster) {
+    WorkerState(WorkerEntry entry, TenantLimits limits, WorkerRoster roster, ActiveRuns activeRuns) {
         this.entry = entry;
         this.limits = limits;
         this.roster = roster;
+        this.activeRuns = activeRuns;
     }
 
     String id() {
@@ -90,6 +94,7 @@
             release(replaced);
         }
         runs.put(run.run, run);
+        activeRuns.onOccupied(run.run.task());
         used = used.plus(run.reserved);
         if (run.tenant != null) {
             limits.onOccupied(run.tenant, run.charged);
@@ -98,6 +103,7 @@
 
     void release(RunState run) {
         if (runs.remove(run.run, run)) {
+            activeRuns.onReleased(run.run.task());
             used = used.minus(run.reserved);
             if (run.tenant != null) {
                 limits.onReleased(run.tenant, run.charged);
--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
@@ -340,8 +340,13 @@
     /** @param claim claim under which the job was stored; 0 if it is unknown or there was none */
     void onJobStored(PoolJob job, long claim) {
         onClaimSeen(claim);
-        boolean mayHaveRuns = claim != fencingToken;
-        if (!closed && loaded && scheduler.submit(job, mayHaveRuns)) {
+        if (closed || !loaded) {
+            return;
+        }
+        boolean added = claim == fencingToken
+                ? scheduler.submit(job)
+                : scheduler.submitInherited(job, clock.nowMs(), clock.wallMs());
+        if (added) {
             requestPass();
         }
     }
--- a/library/src/test/java/io/radishspindle/pool/core/ScriptedPool.java
+++ b/library/src/test/java/io/radishspindle/pool/core/ScriptedPool.java
@@ -29,6 +29,11 @@
         scheduler.submit(SimJobs.job("a", 0, nowMs, SimJobs.step(1, 1_000, 0, 100)));
     }
 
+    /** Submits the job as one that was stored under the claim of an earlier owner. */
+    void submitInheritedJob() {
+        scheduler.submitInherited(SimJobs.job("a", 0, nowMs, SimJobs.step(1, 1_000, 0, 100)), nowMs, nowMs);
+    }
+
     /** A run of the only task of the job. */
     static Run run(int attempt) {
         return new Run(new TaskName("a", 0, 0, 0), attempt);
