Take no run for ended by a report with a full page of ends

Workers list 500 ends at a time. While the store is out nothing is acknowledged, so that the end of a run may be on a later page; its absence from both lists started a succeeded task again, also at a takeover, where one report ended the recovery. The decoder tells whether a report is complete, and only a complete one shows absence or ends the wait for its worker.

--- a/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
@@ -317,6 +317,7 @@
         }
         worker.answered = false;
         worker.replaced = true;
+        worker.hasReportedAll = false;
         worker.leaseBoundMs = nowMs;
         worker.appliedSequence = 0;
         worker.durableSequence = 0;
--- a/library/src/main/java/io/radishspindle/pool/core/Recovery.java
+++ b/library/src/main/java/io/radishspindle/pool/core/Recovery.java
@@ -83,7 +83,7 @@
     }
 
     private boolean mayHaveUnknownRuns(WorkerState worker) {
-        return roster.contains(worker.id()) && !worker.answered && !worker.replaced;
+        return roster.contains(worker.id()) && !worker.hasReportedAll && !worker.replaced;
     }
 
     /** Returns the number of recorded workers that have not reported; after the recovery, their leases have expired. */
--- a/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
+++ b/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
@@ -23,7 +23,7 @@
 /**
  * Applies the reports of workers and their answers to orders to the runs. Belongs to its scheduler; not thread-safe.
  *
- * <p>Invariants: a run is released only by a reported end, by its absence from a report that was requested
+ * <p>Invariants: a run is released only by a reported end, by its absence from a complete report that was requested
  * after the last order about it was answered, by a rejected start, or by the expiry of all leases of its worker; the end of every run is applied to its task, also if the task has
  * another run, or if its job becomes known later.
  */
@@ -108,11 +108,12 @@
             RunningTask running = present.remove(run.run.toString());
             if (running != null) {
                 onRunPresent(run, running, requestedAtMs, nowMs);
-            } else if (run.mustBeIn(hold)) {
+            } else if (report.isComplete() && run.mustBeIn(hold)) {
                 onRunAbsent(run, hold, nowMs, wallMs);
             }
         }
         present.values().forEach(running -> adopt(worker, running, nowMs));
+        worker.hasReportedAll |= report.isComplete();
     }
 
     /** Applies the ends of runs that were reported before this job was known. */
--- a/library/src/main/java/io/radishspindle/pool/core/WorkerState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/WorkerState.java
@@ -31,6 +31,8 @@
 
     long bootWallMs;
     boolean answered;
+    /** Whether this owner knows all runs and ends that earlier owners left on the worker. */
+    boolean hasReportedAll;
     /** The registration that was current at the last answer, to this owner or to an earlier one. */
     @Nullable
     WorkerEntry entryAtLastAnswer;
--- a/library/src/main/java/io/radishspindle/pool/model/WorkerReport.java
+++ b/library/src/main/java/io/radishspindle/pool/model/WorkerReport.java
@@ -7,13 +7,20 @@
  *
  * @param bootWallMs Unix milliseconds of the worker's start; identifies its incarnation
  * @param clockMs the worker's monotonic clock in milliseconds
+ * @param isComplete whether {@code ended} has all ends that are not acknowledged, rather than the first of them only
  */
-public record WorkerReport(long bootWallMs, long clockMs, List<RunningTask> running, List<EndedRun> ended) {
+public record WorkerReport(
+        long bootWallMs, long clockMs, List<RunningTask> running, List<EndedRun> ended, boolean isComplete) {
     public WorkerReport {
         running = List.copyOf(running);
         ended = List.copyOf(ended);
     }
 
+    /** A complete report. */
+    public WorkerReport(long bootWallMs, long clockMs, List<RunningTask> running, List<EndedRun> ended) {
+        this(bootWallMs, clockMs, running, ended, true);
+    }
+
     /**
      * A run that the worker is executing.
      *
--- a/library/src/test/java/io/radishspindle/pool/core/IncompleteReportTest.java
+++ b/library/src/test/java/io/radishspindle/pool/core/IncompleteReportTest.java
@@ -5,6 +5,7 @@
 import io.radishspindle.pool.model.Run;
 import io.radishspindle.pool.model.RunEnd;
 import io.radishspindle.pool.model.TaskName;
+import io.radishspindle.pool.model.WorkerReport;
 import io.radishspindle.pool.model.WorkerReport.EndedRun;
 import io.radishspindle.pool.port.WorkerControl.Answer;
 import java.util.List;
@@ -39,7 +40,7 @@
         }
 
         // when
-        pool.report("w0", List.of(), FULL_PAGE);
+        pool.report("w0", new WorkerReport(ScriptedPool.BOOT_MS, 1_000, List.of(), FULL_PAGE, false));
 
         // then
         assertThat(pool.starts()).isEmpty();
