Wait for a report after a start that the worker calls outdated

The answer means that a run of the task has ended or was stopped there. The task was freed at once and started elsewhere, though the owner had not heard of that run and it may have succeeded. The start is kept now until the next report has told what ended. OutdatedStartTest failed 2 of 2 before and passes.

--- a/library/src/main/java/io/radishspindle/pool/core/CrashSuspects.java
+++ b/library/src/main/java/io/radishspindle/pool/core/CrashSuspects.java
@@ -43,6 +43,9 @@
         boolean hasUnknown = false;
         for (RunState run : runs) {
             TaskState task = run.task;
+            if (run.outdated) {
+                continue;
+            }
             if (task == null) {
                 hasUnknown = true;
             } else if (records.add(task.crashRecord())) {
--- a/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
+++ b/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
@@ -24,7 +24,8 @@
  * Applies the reports of workers and their answers to orders to the runs. Belongs to its scheduler; not thread-safe.
  *
  * <p>Invariants: a run is released only by a reported end, by its absence from a complete report that was requested
- * after the last order about it was answered, by a rejected start, or by the expiry of all leases of its worker; the end of every run is applied to its task, also if the task has
+ * after the last order about it was answered, by a start that was rejected for a reason other than an unknown run of its
+ * task, or by the expiry of all leases of its worker; the end of every run is applied to its task, also if the task has
  * another run, or if its job becomes known later.
  */
 final class RunEvents {
@@ -232,6 +233,10 @@
             stop(run, nowMs, "outcome of start is unknown");
             return;
         }
+        if (run.outdated) {
+            free(run);
+            return;
+        }
         lose(run, "missing from a report", hold.number(), nowMs, wallMs);
     }
 
@@ -295,13 +300,20 @@
             return;
         }
         TaskState task = run.task;
+        if (answer == Answer.OUTDATED && task != null) {
+            // A run of the task has ended or was stopped there; the next report tells how.
+            task.step.tasks.forEach(t -> t.lastAttempt += PoolTiming.ATTEMPT_GAP);
+            run.outdated = true;
+            run.phase = Phase.UNRESOLVED;
+            run.onResolved();
+            return;
+        }
         free(run);
         if (task == null) {
             return;
         }
         StepState step = task.step;
         switch (answer) {
-            case OUTDATED -> step.tasks.forEach(t -> t.lastAttempt += PoolTiming.ATTEMPT_GAP);
             case NO_TICKET -> step.expireTicket(run.worker.id());
             case UNHEALTHY -> run.worker.health.onFailure(nowMs);
             default -> run.worker.lastHoldFailed = true;
--- a/library/src/main/java/io/radishspindle/pool/core/RunState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/RunState.java
@@ -51,6 +51,8 @@
 
     /** The start order got no answer, so that it may still be executed. */
     boolean startOutcomeUnknown;
+    /** The worker has rejected the start for a run of the task of which this owner doesn't know. */
+    boolean outdated;
     /** The worker has accepted a stop, which also prevents a start that arrives later. */
     boolean stopAccepted;
 
