Forget accepted stops and the old clock when a worker starts anew

A new incarnation has forgotten the stops that the last one had accepted, so that a late start may run there after all; and an expiry on the old clock means up to the longest lease on a clock that began anew, 10 s instead of the bound of 5.7 s. The stop is sent again, and the bound is raised to the longest lease. By the protocol's text; no run of the system showed either.

--- a/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
+++ b/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
@@ -129,6 +129,8 @@
                 .filter(run -> run.phase != Phase.STARTING && !present.contains(run.run))
                 .toList();
         attribution.onLost(worker, lost, nowMs);
+        worker.runs.values().forEach(run -> run.stopAccepted = false);
+        worker.onClockRestarted(nowMs);
         actions.add(new PoolAction.WorkerChanged(worker.id(), "restarted", "reports a new start time"));
         worker.appliedSequence = 0;
         worker.durableSequence = 0;
--- a/library/src/main/java/io/radishspindle/pool/core/RunState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/RunState.java
@@ -53,7 +53,7 @@
     boolean startOutcomeUnknown;
     /** The worker has rejected the start for a run of the task of which this owner doesn't know. */
     boolean outdated;
-    /** The worker has accepted a stop, which also prevents a start that arrives later. */
+    /** This incarnation of the worker has accepted a stop, which also prevents a start that arrives later. */
     boolean stopAccepted;
 
     /** When the worker was first known to have the run; -1 before that. */
--- a/library/src/main/java/io/radishspindle/pool/core/WorkerState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/WorkerState.java
@@ -144,6 +144,12 @@
         return unresponsive && nowMs > leaseBoundMs && (polledSince || runs.isEmpty());
     }
 
+    /** An expiry that was sent on the clock of an earlier incarnation is shortened to the longest lease. */
+    void onClockRestarted(long nowMs) {
+        long boundMs = nowMs + (long) Math.ceil(PoolTiming.MAX_LEASE_MS / PoolTiming.MIN_CLOCK_RATE);
+        leaseBoundMs = Math.max(leaseBoundMs, boundMs + PoolTiming.LEASE_MARGIN_MS);
+    }
+
     /** Grants a lease: returns its expiry on the worker's clock and raises the bound on the owner's clock. */
     long grantLease(long nowMs) {
         long sinceAnswerMs = nowMs - clockAtMs;
