Acknowledge no end of the worker that has an address by numbers of the last one

After another worker has answered at an address, writes that were in flight for the ends of the earlier one still raised the acknowledged number, as the boot time was kept. An end of a later incarnation could be forgotten before it was known. The boot time is unknown now until the worker reports again. ReplacedWorkerAcknowledgementTest failed 1 of 2 before and passes.

--- a/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
@@ -31,6 +31,8 @@
  * reported as ended only after its end is durable.
  */
 public final class PoolScheduler {
+    private static final long UNKNOWN_BOOT_MS = 0;
+
     private final Map<String, JobState> jobs = new LinkedHashMap<>();
     private final Map<String, JobState> unfinished = new LinkedHashMap<>();
     private final EndedJobs ended = new EndedJobs();
@@ -318,6 +320,7 @@
         worker.answered = false;
         worker.replaced = true;
         worker.hasReportedAll = false;
+        worker.bootWallMs = UNKNOWN_BOOT_MS;
         worker.leaseBoundMs = nowMs;
         worker.appliedSequence = 0;
         worker.durableSequence = 0;
