--- a/library/src/test/java/io/radishspindle/pool/core/TwoOwnersSimulation.java
+++ b/library/src/test/java/io/radishspindle/pool/core/TwoOwnersSimulation.java
@@ -80,8 +80,11 @@
         /** Adds a job of which another VM tells this owner. */
         void tell(PoolJob job) {
             deliver(() -> {
-                if (scheduler.submit(job)) {
-                    passRequested = true;
+                long claim = claimsOfJobs.getOrDefault(job.id(), 0L);
+                closed |= claim > token;
+                if (!closed) {
+                    passRequested |=
+                            claim == token ? scheduler.submit(job) : scheduler.submitInherited(job, nowMs, nowMs);
                 }
             });
         }
@@ -258,6 +261,9 @@
     final Map<String, SimWorker> workers = new LinkedHashMap<>();
     private final Map<String, WorkerEntry> recorded = new LinkedHashMap<>();
     private final Map<String, PoolJob> storedJobs = new LinkedHashMap<>();
+    /** Tokens of the claims that were in force when the jobs were stored. */
+    private final Map<String, Long> claimsOfJobs = new HashMap<>();
+
     private final Map<String, JobProgress> storedProgress = new HashMap<>();
     private final List<Owner> owners = new ArrayList<>();
     private final PriorityQueue<Event> events =
@@ -308,6 +314,7 @@
 
     void store(PoolJob job) {
         storedJobs.put(job.id(), job);
+        claimsOfJobs.put(job.id(), (long) owners.size());
     }
 
     void after(long delayMs, Runnable action) {
