Count a worker for its owner from the sending of the hold that it answered

An owner that was paused for less than 1.5 s, or whose holds had waited at the workers, took answers for new that were up to 2.7 s old, and renewed leases for so much longer: they outlasted the recovery of the next owner by up to 1.1 s (TwoOwnersTest, loaded jobs, pauses of 700 and 1,400 ms: two at once). The majority is reckoned from the sending of the holds now, which a pause can't make later, and the recovery waits for the leases of an owner that acts to the end of this time.

--- a/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
@@ -237,12 +237,7 @@
      */
     public void invalidateEarlierAnswers(long nowMs) {
         trustedFromMs = nowMs;
-        workers.values()
-                .forEach(worker -> worker.lastAnswerMs = Math.min(worker.lastAnswerMs, unresponsiveSince(nowMs)));
-    }
-
-    private static long unresponsiveSince(long nowMs) {
-        return nowMs - PoolTiming.UNRESPONSIVE_AFTER_MS;
+        workers.values().forEach(worker -> worker.distrustAnswers(nowMs));
     }
 
     /** Creates the next hold for a worker. The lease is renewed only if the worker has runs. */
@@ -284,7 +279,7 @@
         if (worker != null) {
             events.onReport(worker, hold, report, nowMs, wallMs);
             if (hold.sentAtMs() < trustedFromMs) {
-                worker.lastAnswerMs = Math.min(worker.lastAnswerMs, unresponsiveSince(trustedFromMs));
+                worker.distrustAnswers(trustedFromMs);
             }
         }
     }
--- a/library/src/main/java/io/radishspindle/pool/core/PoolTiming.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolTiming.java
@@ -17,6 +17,12 @@
     /** Time without an answer after which a worker gets no new work, in milliseconds: two renewals have failed. */
     public static final long UNRESPONSIVE_AFTER_MS = 2_600;
 
+    /**
+     * Time for which an owner counts a worker that has accepted its token, in milliseconds, from the sending of the
+     * hold: two holds that wait for ends, and a retry.
+     */
+    public static final long CONFIRMATION_MS = 3_200;
+
     /** Longest wait of a hold for an end, in milliseconds: under a third of the lease, so that two retries fit. */
     public static final long HOLD_WAIT_MS = 1_200;
 
--- a/library/src/main/java/io/radishspindle/pool/core/Quorum.java
+++ b/library/src/main/java/io/radishspindle/pool/core/Quorum.java
@@ -31,7 +31,7 @@
         Count recorded = new Count();
         Count withAdded = new Count();
         for (WorkerState worker : workers) {
-            boolean answers = worker.isAnswering(nowMs);
+            boolean answers = worker.confirmsOwner(nowMs);
             if (!answers && mayBeGone(worker, nowMs)) {
                 continue;
             }
--- a/library/src/main/java/io/radishspindle/pool/core/Recovery.java
+++ b/library/src/main/java/io/radishspindle/pool/core/Recovery.java
@@ -15,9 +15,12 @@
  * so that a registration counts neither if it is missing nor if no worker is behind it.
  */
 final class Recovery {
-    /** Longest time for which a run of the previous owner may outlast the loss of its workers, in milliseconds. */
+    /**
+     * Longest time for which a run of the previous owner may go on once a majority of the workers has accepted the token
+     * of this one, in milliseconds: the previous owner may renew leases as long as it counts that majority as its own.
+     */
     private static final long DURATION_MS =
-            (long) ((PoolTiming.LEASE_MS + PoolTiming.UNRESPONSIVE_AFTER_MS) / PoolTiming.MIN_CLOCK_RATE);
+            (long) ((PoolTiming.LEASE_MS + PoolTiming.CONFIRMATION_MS) / PoolTiming.MIN_CLOCK_RATE);
 
     /**
      * Age up to which a job that was stopped may still have runs, in milliseconds: the longest life of a run without a
--- a/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
+++ b/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
@@ -95,6 +95,7 @@
         worker.brokenAtMs = -1;
         worker.brokenOff = false;
         worker.lastAnswerMs = nowMs;
+        worker.tokenAcceptedAtMs = hold.sentAtMs();
         worker.clockMs = report.clockMs();
         worker.clockAtMs = nowMs;
         for (EndedRun ended : report.ended()) {
--- a/library/src/main/java/io/radishspindle/pool/core/WorkerState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/WorkerState.java
@@ -47,6 +47,9 @@
     CrashRecord trial;
 
     long lastAnswerMs;
+    /** The worker has accepted the token of this owner at this time or later: when its last answered hold was sent. */
+    long tokenAcceptedAtMs;
+
     long clockMs;
     long clockAtMs;
     /** Time on the owner's clock at which all leases granted to the worker have certainly expired. */
@@ -126,6 +129,17 @@
         return answered && nowMs - lastAnswerMs < PoolTiming.UNRESPONSIVE_AFTER_MS;
     }
 
+    /** Treats the worker as one that has not answered for some time before {@code atMs}. */
+    void distrustAnswers(long atMs) {
+        lastAnswerMs = Math.min(lastAnswerMs, atMs - PoolTiming.UNRESPONSIVE_AFTER_MS);
+        tokenAcceptedAtMs = Math.min(tokenAcceptedAtMs, atMs - PoolTiming.CONFIRMATION_MS);
+    }
+
+    /** Whether the worker shows that this owner still owned the pool a short time ago. */
+    boolean confirmsOwner(long nowMs) {
+        return answered && nowMs - tokenAcceptedAtMs < PoolTiming.CONFIRMATION_MS;
+    }
+
     /** Whether an owner of the pool has ever got an answer, without which there may be no worker at all. */
     boolean hasEverAnswered() {
         return entryAtLastAnswer != null;
