--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
@@ -77,6 +77,7 @@
     private boolean loaded;
     private boolean closed;
     private boolean recovered;
+    private boolean hasMajority;
     private long tickTimer = -1;
     private int ticks;
 
@@ -225,6 +226,7 @@
 
     private void tick() {
         passes.request();
+        logMajority();
         ticks++;
         if (ticks % REMOVAL_INTERVAL_TICKS == 0) {
             removal.removeBatch();
@@ -247,6 +249,23 @@
         }
     }
 
+    /** Two owners that have a majority at the same time would show here. */
+    private void logMajority() {
+        boolean majority = scheduler.hasQuorum(clock.nowMs());
+        if (majority != hasMajority) {
+            hasMajority = majority;
+            if (log.allows("majority")) {
+                Logger.info(
+                        "event=majority-{} pool={} token={} workers={} silent={}",
+                        majority ? "gained" : "lost",
+                        pool,
+                        fencingToken,
+                        scheduler.workerIds().size(),
+                        scheduler.silentWorkers());
+            }
+        }
+    }
+
     private void logLoad() {
         PoolLoad load = scheduler.load(clock.nowMs(), clock.wallMs());
         Logger.info(
