--- a/library/src/test/java/io/radishspindle/pool/core/RestartedWorkerTest.java
+++ b/library/src/test/java/io/radishspindle/pool/core/OrdersToRestartedWorkerTest.java
@@ -15,7 +15,7 @@
  * Guards against a second run of a task whose first run started after a restart of the worker under its id: the worker
  * has forgotten the stops that it had accepted, and its clock begins anew.
  */
-class RestartedWorkerTest {
+class OrdersToRestartedWorkerTest {
     /** Longest lease that a worker grants, in milliseconds; an expiry on the earlier clock is shortened to it. */
     private static final long MAX_LEASE_MS = 10_000;
 
