Count a restarted worker for the majority once this incarnation is recorded

A worker that has started anew has forgotten the token of a newer owner, so that it confirmed the older one again. It counts once its incarnation is recorded, which needs the claim to be in force.

--- a/library/src/main/java/io/radishspindle/pool/core/Quorum.java
+++ b/library/src/main/java/io/radishspindle/pool/core/Quorum.java
@@ -8,7 +8,8 @@
  *
  * <p>Invariant: counts the workers of the roster, which each owner reads after its claim and changes only while its
  * claim is in force, so that the majorities of two owners have a worker in common, and that worker rejects the older
- * owner. While workers are being added, a majority is needed both with and without them, as the next owner may read
+ * owner. A worker that has started anew has forgotten the token, so that it counts only once this incarnation is
+ * recorded, for which the claim must be in force. While workers are being added, a majority is needed both with and without them, as the next owner may read
  * either.
  */
 final class Quorum {
@@ -36,8 +37,9 @@
                 continue;
             }
             if (roster.contains(worker.id())) {
-                recorded.add(answers);
-                withAdded.add(answers);
+                boolean confirms = answers && roster.contains(worker.id(), worker.bootWallMs);
+                recorded.add(confirms);
+                withAdded.add(confirms);
             } else if (roster.isBeingAdded(worker.id())) {
                 withAdded.add(answers);
             }
--- a/library/src/main/java/io/radishspindle/pool/core/WorkerRoster.java
+++ b/library/src/main/java/io/radishspindle/pool/core/WorkerRoster.java
@@ -16,6 +16,11 @@
             return true;
         }
 
+        @Override
+        public boolean contains(String workerId, long bootWallMs) {
+            return true;
+        }
+
         @Override
         public boolean isBeingAdded(String workerId) {
             return false;
@@ -35,6 +40,9 @@
     /** Whether the worker is recorded. */
     boolean contains(String workerId);
 
+    /** Whether this incarnation of the worker is recorded; it was under a claim that was in force then. */
+    boolean contains(String workerId, long bootWallMs);
+
     /** Whether a write is in flight that records the worker, so that a later owner may read it or not. */
     boolean isBeingAdded(String workerId);
 
--- a/library/src/main/java/io/radishspindle/pool/runtime/StoredRoster.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/StoredRoster.java
@@ -126,6 +126,12 @@
         return recorded.containsKey(workerId);
     }
 
+    @Override
+    public boolean contains(String workerId, long bootWallMs) {
+        WorkerEntry record = recorded.get(workerId);
+        return record != null && record.bootWallMs() == bootWallMs;
+    }
+
     @Override
     public boolean isBeingAdded(String workerId) {
         return adding.containsKey(workerId);
