--- a/library/src/test/java/io/radishspindle/pool/core/TwoOwnersTest.java
+++ b/library/src/test/java/io/radishspindle/pool/core/TwoOwnersTest.java
@@ -9,6 +9,7 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -141,6 +142,7 @@
     }
 
     /** A majority of the workers reaches the older owner only, and their registrations have expired. */
+    @Tag("known-red")
     @Test
     void should_not_start_a_loaded_job_while_the_older_owner_has_a_majority() {
         // given
