--- a/library/src/test/java/io/radishspindle/pool/core/SimJobs.java
+++ b/library/src/test/java/io/radishspindle/pool/core/SimJobs.java
@@ -13,6 +13,15 @@
 
     /** The step with an image, whose name is used to look up its run time. */
     static StepSpec withImage(StepSpec step, String image) {
+        return with(step, step.label(), image);
+    }
+
+    /** The step for workers with a label. */
+    static StepSpec withLabel(StepSpec step, String label) {
+        return with(step, label, step.image());
+    }
+
+    private static StepSpec with(StepSpec step, String label, String image) {
         return new StepSpec(
                 step.count(),
                 step.perTask(),
@@ -21,7 +30,7 @@
                 false,
                 step.gang(),
                 step.sameRack(),
-                step.label(),
+                label,
                 step.rack(),
                 step.maxPerWorker(),
                 step.speculative(),
