Record each incarnation of a worker before runs are started on it

Cause: StoredRoster compared a record with the registration by the address only, so that it kept the capacity and the start time of an earlier incarnation; a new owner bounds by them what may run unseen while the registration is missing. Change: a record counts only for the incarnation that is registered now; otherwise the worker is recorded anew first.

--- a/library/src/main/java/io/radishspindle/pool/core/WorkerRoster.java
+++ b/library/src/main/java/io/radishspindle/pool/core/WorkerRoster.java
@@ -38,7 +38,10 @@
     /** Whether a write is in flight that records the worker, so that a later owner may read it or not. */
     boolean isBeingAdded(String workerId);
 
-    /** Whether every later owner will find the worker at this address, so that it will know what is started there. */
+    /**
+     * Whether every later owner will find this incarnation of the worker at this address, so that it will know what is
+     * started there and how much fits there.
+     */
     boolean mayStartOn(WorkerEntry worker);
 
     /**
--- a/library/src/main/java/io/radishspindle/pool/runtime/StoredRoster.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/StoredRoster.java
@@ -30,7 +30,7 @@
  * <p>Invariants: every write is conditional on the claim and on the last known state of each record, so that an owner
  * reads after its claim all that earlier owners have recorded, and a write that is carried out late undoes nothing; a
  * worker is recorded only after it has answered, and removed only once it can't have runs; nothing is started on a
- * worker before its record is durable, nor while a write that removes it may take effect.
+ * worker before the record of its registered incarnation is durable, nor while a write that removes it may take effect.
  */
 final class StoredRoster implements WorkerRoster {
     /** Time before a failed write is repeated, in milliseconds. */
@@ -134,7 +134,7 @@
     @Override
     public boolean mayStartOn(WorkerEntry worker) {
         WorkerEntry record = recorded.get(worker.id());
-        return record != null && record.isAtSameAddress(worker) && !removing.contains(worker.id());
+        return record != null && record.isSameIncarnation(worker) && !removing.contains(worker.id());
     }
 
     @Override
--- a/library/src/test/java/io/radishspindle/pool/core/SimRoster.java
+++ b/library/src/test/java/io/radishspindle/pool/core/SimRoster.java
@@ -27,7 +27,7 @@
 
     @Override
     public boolean mayStartOn(WorkerEntry worker) {
-        return recorded.containsKey(worker.id()) && recorded.get(worker.id()).isAtSameAddress(worker) && !inFlight;
+        return recorded.containsKey(worker.id()) && recorded.get(worker.id()).isSameIncarnation(worker) && !inFlight;
     }
 
     @Override
--- a/library/src/test/java/io/radishspindle/pool/runtime/StoredRosterTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/StoredRosterTest.java
@@ -190,6 +190,33 @@
         assertThat(loadedByNextOwner()).containsExactly(entry("w", 100));
     }
 
+    /** A record with the smaller capacity of an earlier incarnation would hide runs from the quotas at a takeover. */
+    @Test
+    void should_record_a_new_incarnation_before_anything_is_started_on_it() {
+        // given
+        roster.load(List.of(), false);
+        register(entry("w", 100));
+        answer("w");
+        roster.update(scheduler);
+        Resources larger = new Resources(16_000, 1_000, 2);
+        WorkerEntry restarted =
+                new WorkerEntry("w", POOL, "10.0.0.1", 100, "dc", "r", false, -1, 2, larger, List.of("b"));
+
+        // when
+        register(restarted);
+
+        // then
+        assertThat(roster.mayStartOn(restarted)).isFalse();
+
+        // when
+        answer("w");
+        updateLater();
+
+        // then
+        assertThat(roster.mayStartOn(restarted)).isTrue();
+        assertThat(loadedByNextOwner()).containsExactly(restarted);
+    }
+
     @Test
     void should_write_nothing_once_another_owner_has_the_claim() {
         // given
