Let the simulation poll workers that are down for as long as their owner does

A worker that restarted and crashed within seconds was never given up in the simulation, as its polls ended with its registration; an owner goes on while the worker may have runs.

--- a/library/src/test/java/io/radishspindle/pool/core/PoolSimulation.java
+++ b/library/src/test/java/io/radishspindle/pool/core/PoolSimulation.java
@@ -71,6 +71,9 @@
 
     final SimHistory history = new SimHistory();
     final Map<String, SimWorker> workers = new LinkedHashMap<>();
+    /** Workers that are down and whose registrations were removed. */
+    private final Map<String, SimWorker> removedWorkers = new HashMap<>();
+
     private final Map<String, PoolJob> storedJobs = new LinkedHashMap<>();
     private final Map<String, JobProgress> storedProgress = new HashMap<>();
     private final Set<String> storedCancels = new HashSet<>();
@@ -223,6 +226,7 @@
         worker.crash();
         after(ENTRY_TTL_MS, () -> {
             workers.remove(worker.entry.id());
+            removedWorkers.put(worker.entry.id(), worker);
             scheduler.onWorkerUnregistered(worker.entry.id());
         });
     }
@@ -430,8 +434,9 @@
         if (owner != scheduler) {
             return;
         }
-        SimWorker worker = workers.get(id);
-        if (worker == null) {
+        // An owner polls a worker for as long as it may have runs.
+        SimWorker worker = workers.getOrDefault(id, removedWorkers.get(id));
+        if (worker == null || owner.worker(id).isEmpty()) {
             return;
         }
         if (worker.isDown) {
