Show second runs after orders that cross a restart of their worker (fails)

Cause: RunEvents.onStopReply takes the answer to a stop for one of the current incarnation; WorkerState.grantLease bounds the lease of a start by the clock of the last incarnation that answered, but another one that executes it grants up to 10 s. Change: two tests; the loop of the existing test moved into a method, its check is unchanged.

--- a/library/src/test/java/io/radishspindle/pool/core/OrdersToRestartedWorkerTest.java
+++ b/library/src/test/java/io/radishspindle/pool/core/OrdersToRestartedWorkerTest.java
@@ -51,6 +51,30 @@
         assertThat(pool.starts()).isEmpty();
     }
 
+    /** Answers on different connections may overtake each other. */
+    @Test
+    void should_not_take_the_answer_of_an_earlier_incarnation_to_a_stop_for_one_of_this_incarnation() {
+        // given
+        pool.scheduler.onStartReply(worker, run, null, pool.nowMs);
+        pool.report(worker, List.of(), List.of());
+        pool.starts();
+        reportRestarted(List.of());
+
+        // when
+        pool.scheduler.onStopReply(worker, run, Answer.ACCEPTED, pool.nowMs);
+        reportRestarted(List.of());
+
+        // then
+        assertThat(pool.starts()).isEmpty();
+    }
+
+    /** The worker restarts unseen before it executes the start. */
+    @Test
+    void should_wait_for_the_longest_lease_if_an_order_without_an_answer_may_reach_another_incarnation() {
+        pool.scheduler.onStartReply(worker, run, null, pool.nowMs);
+        assertNoStartWithinTheLongestLease();
+    }
+
     @Test
     void should_wait_for_the_longest_lease_if_its_expiry_was_sent_on_the_clock_of_an_earlier_incarnation() {
         // given
@@ -58,6 +82,10 @@
         reportRestarted(running(run));
 
         // when no other hold is answered
+        assertNoStartWithinTheLongestLease();
+    }
+
+    private void assertNoStartWithinTheLongestLease() {
         long endMs = pool.nowMs + MAX_LEASE_MS;
         for (; pool.nowMs < endMs; pool.nowMs += 500) {
             pool.scheduler.onHoldFailed(worker, pool.nowMs, pool.nowMs, false);
