Show a majority without workers whose registrations have just expired (fails)

Cause: Quorum.mayBeGone waits for the return of registrations only after a takeover; an owner that has acted for longer leaves silent workers out as soon as it reads that their registrations expired, though they are back within 2 s. Change: a test.

--- a/library/src/test/java/io/radishspindle/pool/core/RecordedWorkersTest.java
+++ b/library/src/test/java/io/radishspindle/pool/core/RecordedWorkersTest.java
@@ -155,6 +155,21 @@
         assertThat(passes(LEASES_EXPIRED_MS, registered)).containsExactly("old");
     }
 
+    /** An owner that has acted for long reads that registrations have expired; they are back within 2 s. */
+    @Test
+    void should_not_take_silent_workers_for_gone_as_soon_as_their_registrations_expire() {
+        // given
+        takeOver(RECORDED);
+        passes(4_000, RECORDED);
+        passes(4_000, 2);
+
+        // when
+        List.of("w2", "w3", "w4").forEach(scheduler::onWorkerUnregistered);
+
+        // then
+        assertThat(scheduler.hasQuorum(nowMs)).isFalse();
+    }
+
     @Test
     void should_not_wait_for_a_recorded_worker_whose_address_another_one_has() {
         // given
