Show that the owner is told to add a cancelled job (fails)

Callers could see tasks of a cancelled job start: an owner whose watch lists the item only after its end doesn't know the job and drops the cancellation, then the announcement adds it. Change: a test.

--- a/library/src/test/java/io/radishspindle/pool/runtime/JobIntakeTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/JobIntakeTest.java
@@ -6,6 +6,7 @@
 import io.radishspindle.error.Failure;
 import io.radishspindle.model.Resources;
 import io.radishspindle.platform.SystemClock;
+import io.radishspindle.pool.model.JobPhase;
 import io.radishspindle.pool.model.PoolJob;
 import io.radishspindle.pool.model.StepSpec;
 import io.radishspindle.pool.port.SharedStore.Item;
@@ -236,4 +237,21 @@
                 .containsExactlyElementsOf(announced == 0 ? List.of() : List.of(announced));
         assertThat(inItem == 0 ? 0 : claimOfStoredJob()).isEqualTo(inItem);
     }
+
+    /** Guards against a start of a cancelled job: an owner that has listed the item only after its end would add it. */
+    @Test
+    void should_not_announce_a_job_that_has_been_cancelled_while_its_outcome_was_unknown() throws TimeoutException {
+        // given
+        String key = StoreKeys.job("pool", "j");
+        Records.EndedJob cancelled = new Records.EndedJob(JobPhase.CANCELLED, null, clock.wallMs());
+        store.firstFaults.add(Fault.LOSE_ANSWER);
+        store.beforeNextTransaction = () ->
+                store.beforeNextTransaction = () -> store.items.put(key, new Item(key, Records.encode(cancelled), 9));
+
+        // when
+        submit("j");
+
+        // then
+        assertThat(stored).isEmpty();
+    }
 }
