Count silent workers for 2.5 s after their registrations expire, and those being removed

An owner that had acted for long took a majority with two of five workers as soon as the registrations of the silent others expired, as the time in which entries return counted from its takeover only. And a removal of records whose outcome is unknown left two disjoint majorities possible: the next owner may read the records or not.

--- a/library/src/main/java/io/radishspindle/pool/core/Quorum.java
+++ b/library/src/main/java/io/radishspindle/pool/core/Quorum.java
@@ -1,6 +1,8 @@
 package io.radishspindle.pool.core;
 
 import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
 
 /**
  * Decides whether enough workers answer the owner to rule out that another owner acts. Belongs to its scheduler; not
@@ -9,15 +11,17 @@
  * <p>Invariant: counts the workers of the roster, which each owner reads after its claim and changes only while its
  * claim is in force, so that the majorities of two owners have a worker in common, and that worker rejects the older
  * owner. A worker that has started anew has forgotten the token, so that it counts only once this incarnation is
- * recorded, for which the claim must be in force. While workers are being added, a majority is needed both with and without them, as the next owner may read
- * either.
+ * recorded, for which the claim must be in force. While workers are being added or removed, a majority is needed both
+ * with and without them, as the next owner may read either.
  */
 final class Quorum {
-    /** Time after a takeover for which a recorded worker without a registration counts although it doesn't answer. */
+    /** Time for which a recorded worker without a registration counts although it doesn't answer, in milliseconds. */
     private static final long REGISTRATION_RETURN_MS = 2_500;
 
     private final WorkerRoster roster;
-    private long unregisteredCountUntilMs = Long.MIN_VALUE;
+    private long startedMs = Long.MIN_VALUE;
+    /** When each worker without a registration was first seen without one. */
+    private final Map<String, Long> unregisteredSinceMs = new HashMap<>();
 
     Quorum(WorkerRoster roster) {
         this.roster = roster;
@@ -25,12 +29,13 @@
 
     /** A new owner starts: registrations that expired while the store was unavailable may still be missing. */
     void begin(long nowMs) {
-        unregisteredCountUntilMs = nowMs + REGISTRATION_RETURN_MS;
+        startedMs = nowMs;
     }
 
     boolean isReached(Collection<WorkerState> workers, long nowMs) {
         Count recorded = new Count();
         Count withAdded = new Count();
+        Count withoutRemoved = new Count();
         for (WorkerState worker : workers) {
             boolean answers = worker.confirmsOwner(nowMs);
             if (!answers && mayBeGone(worker, nowMs)) {
@@ -40,15 +45,23 @@
                 boolean confirms = answers && roster.contains(worker.id(), worker.bootWallMs);
                 recorded.add(confirms);
                 withAdded.add(confirms);
+                if (!roster.isBeingRemoved(worker.id())) {
+                    withoutRemoved.add(confirms);
+                }
             } else if (roster.isBeingAdded(worker.id())) {
                 withAdded.add(answers);
             }
         }
-        return recorded.isMajority() && withAdded.isMajority();
+        return recorded.isMajority() && withAdded.isMajority() && withoutRemoved.isMajority();
     }
 
     private boolean mayBeGone(WorkerState worker, long nowMs) {
-        return worker.replaced || (!worker.listed && nowMs >= unregisteredCountUntilMs);
+        if (worker.listed) {
+            unregisteredSinceMs.remove(worker.id());
+            return worker.replaced;
+        }
+        long sinceMs = Math.max(startedMs, unregisteredSinceMs.computeIfAbsent(worker.id(), id -> nowMs));
+        return worker.replaced || nowMs - sinceMs >= REGISTRATION_RETURN_MS;
     }
 
     /** Counts workers and those that answer; not thread-safe. */
--- a/library/src/main/java/io/radishspindle/pool/core/StartPermission.java
+++ b/library/src/main/java/io/radishspindle/pool/core/StartPermission.java
@@ -9,8 +9,11 @@
  * nobody else may start it.
  *
  * <ul>
- *   <li>No newer owner has acted: a majority of the recorded workers answers this one ({@link Quorum}). A newer owner
- *       needs a majority of the same workers, and each of them rejects this owner from then on.
+ *   <li>A newer owner started at most {@link PoolTiming#CONFIRMATION_MS} ago: a majority of the recorded workers has
+ *       answered holds of this one that were sent since then ({@link Quorum}), and a newer one needs a majority of the
+ *       same workers, each of which rejects this owner from then on. For that time the newer owner keeps to the next
+ *       point. Registrations that are gone for longer than an outage of the store explains end the part of their
+ *       workers in this, as the platform takes such workers for gone.
  *   <li>No earlier owner acts, and none of its runs is unknown: it knows only jobs that were stored before the claim of
  *       this owner, and those wait until every recorded worker has reported all its runs and ends to this owner, and so
  *       rejects the earlier one, or can't have runs any more ({@link Recovery}).
--- a/library/src/main/java/io/radishspindle/pool/core/WorkerRoster.java
+++ b/library/src/main/java/io/radishspindle/pool/core/WorkerRoster.java
@@ -26,6 +26,11 @@
             return false;
         }
 
+        @Override
+        public boolean isBeingRemoved(String workerId) {
+            return false;
+        }
+
         @Override
         public boolean mayStartOn(WorkerEntry worker) {
             return true;
@@ -46,6 +51,9 @@
     /** Whether a write is in flight that records the worker, so that a later owner may read it or not. */
     boolean isBeingAdded(String workerId);
 
+    /** Whether a write is in flight that removes the worker, so that a later owner may read it or not. */
+    boolean isBeingRemoved(String workerId);
+
     /**
      * Whether every later owner will find this incarnation of the worker at this address, so that it will know what is
      * started there and how much fits there.
--- a/library/src/main/java/io/radishspindle/pool/runtime/StoredRoster.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/StoredRoster.java
@@ -137,6 +137,11 @@
         return adding.containsKey(workerId);
     }
 
+    @Override
+    public boolean isBeingRemoved(String workerId) {
+        return removing.contains(workerId);
+    }
+
     @Override
     public boolean mayStartOn(WorkerEntry worker) {
         WorkerEntry record = recorded.get(worker.id());
--- a/library/src/test/java/io/radishspindle/pool/core/SimRoster.java
+++ b/library/src/test/java/io/radishspindle/pool/core/SimRoster.java
@@ -31,6 +31,11 @@
         return adding.containsKey(workerId);
     }
 
+    @Override
+    public boolean isBeingRemoved(String workerId) {
+        return false;
+    }
+
     @Override
     public boolean mayStartOn(WorkerEntry worker) {
         return recorded.containsKey(worker.id()) && recorded.get(worker.id()).isSameIncarnation(worker) && !inFlight;
