Announce no job that was cancelled while its outcome was unknown

A submission whose answer was lost found its item again as that of an ended job and announced the job to the owner, which may have listed the item after its end and dropped the cancellation: it would have started a cancelled job (UNASKED).

--- a/library/src/main/java/io/radishspindle/pool/runtime/JobIntake.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/JobIntake.java
@@ -189,7 +189,7 @@
                 pending.promise.complete(Either.left(
                         Failure.rejected(ErrorCode.FORBIDDEN, "job.store", "the job belongs to another tenant")));
             } else if (item != null) {
-                if (pending.outcomeUnknown) {
+                if (pending.outcomeUnknown && !isEnded(item)) {
                     onStored.accept(new JobStored(pending.job, claimOf(item)));
                 }
                 pending.promise.complete(Either.right(pending.job));
@@ -201,6 +201,11 @@
         }
     }
 
+    private static boolean isEnded(Item job) {
+        byte[] value = job.value();
+        return value != null && Records.isEndedJob(value);
+    }
+
     /** The claim under which a job was stored, which may be an earlier one than the claim in force. */
     private static long claimOf(Item job) {
         byte[] value = job.value();
