Reckon the recovery from the first pass that finds a majority

The wait for leases began at the last pass without a majority, and workers may have accepted a hold of the earlier owner since.

--- a/library/src/main/java/io/radishspindle/pool/core/Recovery.java
+++ b/library/src/main/java/io/radishspindle/pool/core/Recovery.java
@@ -41,6 +41,7 @@
     private long endsMs = Long.MIN_VALUE;
     private long gangsReportedByMs = Long.MIN_VALUE;
     private boolean unseen;
+    private boolean hadQuorum;
     /** By tenant, Unix milliseconds at which its last job was cancelled or failed. */
     private final Map<String, Long> lastStoppedWallMs = new HashMap<>();
 
@@ -108,9 +109,11 @@
         if (!unseen) {
             return;
         }
-        if (!quorum && isActive(nowMs)) {
+        // The last of the majority may have accepted the token at any time since the previous update.
+        if (!(quorum && hadQuorum) && isActive(nowMs)) {
             endsMs = nowMs + DURATION_MS;
         }
+        hadQuorum = quorum;
         unseen = isActive(nowMs);
         limits.onUnseen(unseen ? unseenRuns(wallMs) : Map.of());
     }
