Ignore the answer of an earlier incarnation to a stop

A stop that was accepted before a restart of its worker prevents nothing after it; if its answer came after the first report of the new incarnation, a start without an answer counted as prevented. The case of OrdersToRestartedWorkerTest failed before and passes.

--- a/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
+++ b/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
@@ -130,7 +130,7 @@
                 .filter(run -> run.phase != Phase.STARTING && !present.contains(run.run))
                 .toList();
         attribution.onLost(worker, lost, nowMs);
-        worker.runs.values().forEach(run -> run.stopAccepted = false);
+        worker.runs.values().forEach(RunState::onNewIncarnation);
         worker.onClockRestarted(nowMs);
         actions.add(new PoolAction.WorkerChanged(worker.id(), "restarted", "reports a new start time"));
         worker.appliedSequence = 0;
@@ -337,7 +337,8 @@
     }
 
     void onStopReply(RunState run, @Nullable Answer answer, long nowMs) {
-        if (answer == Answer.ACCEPTED || answer == Answer.OUTDATED) {
+        boolean mayBeOfEarlierIncarnation = run.onStopAnswered();
+        if (!mayBeOfEarlierIncarnation && (answer == Answer.ACCEPTED || answer == Answer.OUTDATED)) {
             run.stopAccepted = true;
             run.onResolved();
         }
--- a/library/src/main/java/io/radishspindle/pool/core/RunState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/RunState.java
@@ -62,6 +62,10 @@
     boolean survivalReported;
 
     long stopSentAtMs;
+    /** Stops without an answer yet, and those among them that an earlier incarnation may answer. */
+    private int stopsInFlight;
+
+    private int earlierStopsInFlight;
     long idleSinceMs = -1;
 
     RunState(
@@ -86,6 +90,7 @@
     PoolAction.Stop stop(long nowMs, String reason) {
         phase = Phase.STOPPING;
         stopSentAtMs = nowMs;
+        stopsInFlight++;
         return new PoolAction.Stop(worker.entry, run, reason);
     }
 
@@ -101,6 +106,20 @@
         }
     }
 
+    /** A stop got its answer, or will get none; returns whether an earlier incarnation may have given it. */
+    boolean onStopAnswered() {
+        stopsInFlight = Math.max(0, stopsInFlight - 1);
+        boolean earlier = earlierStopsInFlight > 0;
+        earlierStopsInFlight -= earlier ? 1 : 0;
+        return earlier;
+    }
+
+    /** The worker has started anew and has forgotten the stops that it had accepted. */
+    void onNewIncarnation() {
+        stopAccepted = false;
+        earlierStopsInFlight = stopsInFlight;
+    }
+
     /** The effect of the last order about the run, or the run itself, is known from now on. */
     void onResolved() {
         resolvedBy = worker.calls.next();
