Wait for the longest lease of a run that a new owner finds at work

An earlier owner may have sent the expiry on the clock of an incarnation that had ended, which the worker shortens to its longest lease, 10 s; the bound was 5.7 s. LeaseOfEarlierOwnerTest failed before (a start elsewhere after 6 s) and passes.

--- a/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
+++ b/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
@@ -85,6 +85,10 @@
         if (!worker.answered) {
             // The previous owner may have granted a lease just before the worker received this owner's fencing token.
             worker.leaseBoundMs = nowMs + (long) (PoolTiming.LEASE_MS / PoolTiming.MIN_CLOCK_RATE);
+            if (!report.running().isEmpty()) {
+                // The expiry may have been sent on the clock of an earlier incarnation.
+                worker.onClockRestarted(nowMs);
+            }
         }
         endsAreFresh = worker.answered && nowMs - worker.lastAnswerMs <= MAX_REPORT_GAP_MS;
         worker.bootWallMs = report.bootWallMs();
