--- a/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
@@ -31,6 +31,8 @@
  * reported as ended only after its end is durable.
  */
 public final class PoolScheduler {
+    private static final long UNKNOWN_BOOT_MS = 0;
+
     private final Map<String, JobState> jobs = new LinkedHashMap<>();
     private final Map<String, JobState> unfinished = new LinkedHashMap<>();
     private final EndedJobs ended = new EndedJobs();
@@ -47,7 +49,9 @@
     private final Trials trials;
     private final ProgressLedger progress;
     private final Recovery recovery;
+    private final ActiveRuns activeRuns = new ActiveRuns();
     private final Quorum quorum;
+    private final StartPermission permission;
     private final TenantOrder order;
     /** Answers to holds that were sent before this time don't prove that the owner still owns the pool. */
     private long trustedFromMs = Long.MIN_VALUE;
@@ -64,11 +68,12 @@
         jobEvents = new JobEvents(unfinished, dirty, actions);
         attribution = new CrashAttribution(workers, dirty, jobEvents, actions);
         trials = new Trials(workers, dirty);
-        events = new RunEvents(jobs, unfinished, jobEvents, actions, durations, this::tenantOf, attribution, trials);
+        events = new RunEvents(jobs, unfinished, jobEvents, actions, durations, this::isKnown, this::tenantOf, attribution, trials);
         progress = new ProgressLedger(jobs, workers, dirty);
         order = new TenantOrder(options.weights());
         recovery = new Recovery(workers, unfinished, options.limits(), options.roster());
         quorum = new Quorum(options.roster());
+        permission = new StartPermission(quorum, recovery, activeRuns);
     }
 
     /** Adds a stored job, which an earlier owner may have started. */
@@ -110,18 +115,32 @@
         attribution.onInherited(unfinished.values(), nowMs);
     }
 
-    /** Adds a new job; returns false if it is already known. */
+    /** Adds a new job that no other owner knows; returns false if it is already known. */
     public boolean submit(PoolJob job) {
         if (isKnown(job.id())) {
             return false;
         }
-        JobState state = new JobState(job, false, durations);
-        order.onArrival(state);
-        jobs.put(job.id(), state);
-        unfinished.put(job.id(), state);
+        add(new JobState(job, false, durations));
         return true;
     }
 
+    /** Adds a new job that an earlier owner may have started; returns false if it is already known. */
+    public boolean submitInherited(PoolJob job, long nowMs, long wallMs) {
+        if (isKnown(job.id())) {
+            return false;
+        }
+        JobState state = new JobState(job, true, durations);
+        add(state);
+        events.onJobKnown(state, nowMs, wallMs);
+        return true;
+    }
+
+    private void add(JobState state) {
+        order.onArrival(state);
+        jobs.put(state.job.id(), state);
+        unfinished.put(state.job.id(), state);
+    }
+
     /** Cancels a job whose cancellation is durable; returns false if it is unknown or has ended. */
     public boolean cancel(String jobId, long wallMs) {
         JobState job = jobs.get(jobId);
@@ -137,7 +156,7 @@
     public void onWorkerRegistered(WorkerEntry entry, long nowMs) {
         WorkerState worker = workers.get(entry.id());
         if (worker == null) {
-            workers.put(entry.id(), new WorkerState(entry, options.limits(), options.roster()));
+            workers.put(entry.id(), newWorker(entry));
             return;
         }
         if (!entry.isSameIncarnation(worker.entry)) {
@@ -157,7 +176,7 @@
     public void onWorkerRecorded(WorkerEntry recorded) {
         WorkerState worker = workers.get(recorded.id());
         if (worker == null) {
-            worker = new WorkerState(recorded, options.limits(), options.roster());
+            worker = newWorker(recorded);
             worker.listed = false;
             workers.put(recorded.id(), worker);
         }
@@ -166,6 +185,10 @@
         }
     }
 
+    private WorkerState newWorker(WorkerEntry entry) {
+        return new WorkerState(entry, options.limits(), options.roster(), activeRuns);
+    }
+
     /** Handles a removed registration: the worker gets no more work, and its runs end when their lease expires. */
     public void onWorkerUnregistered(String workerId) {
         WorkerState worker = workers.get(workerId);
@@ -205,7 +228,7 @@
 
     /** Returns whether a majority of the recorded workers responds; without it another owner may exist. */
     public boolean hasQuorum(long nowMs) {
-        return quorum.isReached(workers.values(), nowMs);
+        return permission.mayStartAny(workers.values(), nowMs);
     }
 
     /**
@@ -214,18 +237,20 @@
      */
     public void invalidateEarlierAnswers(long nowMs) {
         trustedFromMs = nowMs;
-        workers.values()
-                .forEach(worker -> worker.lastAnswerMs = Math.min(worker.lastAnswerMs, unresponsiveSince(nowMs)));
-    }
-
-    private static long unresponsiveSince(long nowMs) {
-        return nowMs - PoolTiming.UNRESPONSIVE_AFTER_MS;
+        workers.values().forEach(worker -> worker.distrustAnswers(nowMs));
     }
 
     /** Creates the next hold for a worker. The lease is renewed only if the worker has runs. */
-    public HoldOrder holdOrder(String workerId, long nowMs, long fencingToken) {
+    public SentHold holdOrder(String workerId, long nowMs, long fencingToken) {
         WorkerState worker = workers.get(workerId);
-        if (worker == null || !worker.answered) {
+        if (worker == null) {
+            return new SentHold(new HoldOrder(0, fencingToken, 0, 0), nowMs, EventSequence.BEFORE_ALL);
+        }
+        return new SentHold(holdOrder(worker, nowMs, fencingToken), nowMs, worker.calls.next());
+    }
+
+    private HoldOrder holdOrder(WorkerState worker, long nowMs, long fencingToken) {
+        if (!worker.answered) {
             return new HoldOrder(0, fencingToken, 0, 0);
         }
         // A worker that may be unreachable gets no further lease, so that its runs end at a known time.
@@ -246,14 +271,15 @@
     /**
      * Applies the report of a worker.
      *
-     * @param requestedAtMs when the hold was sent; runs that were resolved later may be missing from the report
+     * @param hold the hold that requested it, from {@link #holdOrder}; runs that were resolved after it was sent may be
+     *     missing from the report
      */
-    public void onHoldReply(String workerId, long requestedAtMs, WorkerReport report, long nowMs, long wallMs) {
+    public void onHoldReply(String workerId, SentHold hold, WorkerReport report, long nowMs, long wallMs) {
         WorkerState worker = workers.get(workerId);
         if (worker != null) {
-            events.onReport(worker, requestedAtMs, report, nowMs, wallMs);
-            if (requestedAtMs < trustedFromMs) {
-                worker.lastAnswerMs = Math.min(worker.lastAnswerMs, unresponsiveSince(trustedFromMs));
+            events.onReport(worker, hold, report, nowMs, wallMs);
+            if (hold.sentAtMs() < trustedFromMs) {
+                worker.distrustAnswers(trustedFromMs);
             }
         }
     }
@@ -288,6 +314,8 @@
         }
         worker.answered = false;
         worker.replaced = true;
+        worker.hasReportedAll = false;
+        worker.bootWallMs = UNKNOWN_BOOT_MS;
         worker.leaseBoundMs = nowMs;
         worker.appliedSequence = 0;
         worker.durableSequence = 0;
@@ -351,6 +379,7 @@
                     options.limits(),
                     ends,
                     preemption,
+                    permission,
                     trials,
                     dirty);
             List<StepState> ready = readySteps(nowMs, wallMs);
@@ -375,10 +404,9 @@
     }
 
     private List<StepState> readySteps(long nowMs, long wallMs) {
-        boolean recovering = isRecovering(nowMs);
         List<StepState> ready = new ArrayList<>();
         for (JobState job : unfinished.values()) {
-            if (recovering && job.inherited) {
+            if (!permission.mayStartTasksOf(job, nowMs)) {
                 continue;
             }
             for (StepState step : job.steps) {
--- a/library/src/main/java/io/radishspindle/pool/core/PoolTiming.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolTiming.java
@@ -5,6 +5,9 @@
     /** Duration of the lease on runs, in milliseconds: covers a restart of every VM, which takes 4 to 5 s. */
     public static final long LEASE_MS = 5_500;
 
+    /** Longest lease that a worker grants, in milliseconds; it shortens a longer one. */
+    public static final long MAX_LEASE_MS = 10_000;
+
     /** Minimum rate of a worker's clock relative to the owner's; the platform allows a deviation of 2%. */
     public static final double MIN_CLOCK_RATE = 0.98;
 
@@ -14,6 +17,12 @@
     /** Time without an answer after which a worker gets no new work, in milliseconds: two renewals have failed. */
     public static final long UNRESPONSIVE_AFTER_MS = 2_600;
 
+    /**
+     * Time for which an owner counts a worker that has accepted its token, in milliseconds, from the sending of the
+     * hold: two holds that wait for ends, and a retry.
+     */
+    public static final long CONFIRMATION_MS = 3_200;
+
     /** Longest wait of a hold for an end, in milliseconds: under a third of the lease, so that two retries fit. */
     public static final long HOLD_WAIT_MS = 1_200;
 
--- a/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
+++ b/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
@@ -16,15 +16,17 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 
 /**
  * Applies the reports of workers and their answers to orders to the runs. Belongs to its scheduler; not thread-safe.
  *
- * <p>Invariant: a run is released only by a reported end, by its absence from a report that was requested after the
- * last order about it was answered, by a rejected start, by a new incarnation of its worker, or by the expiry of
- * all leases of its worker.
+ * <p>Invariants: a run is released only by a reported end, by its absence from a complete report that was requested
+ * after the last order about it was answered, by a start that was rejected for a reason other than an unknown run of its
+ * task, or by the expiry of all leases of its worker; the end of every run is applied to its task, also if the task has
+ * another run, or if its job becomes known later.
  */
 final class RunEvents {
     /** Time after which a stop without effect is retried, in milliseconds. */
@@ -45,21 +47,28 @@
     private final CrashAttribution attribution;
     private final Trials trials;
     private final Function<String, Optional<String>> tenantOf;
+    private final Predicate<String> isKnown;
+    private final UnknownJobEnds unknownJobEnds = new UnknownJobEnds();
     /** Whether the ends in the current report have just happened. */
     private boolean endsAreFresh;
 
-    /** @param tenantOf finds the tenant of a job, unfinished or ended, by the id of the job */
+    /**
+     * @param isKnown whether a job, unfinished or ended, is known
+     * @param tenantOf finds the tenant of a job, unfinished or ended, by the id of the job
+     */
     RunEvents(
             Map<String, JobState> jobs,
             Map<String, JobState> unfinished,
             JobEvents jobEvents,
             List<PoolAction> actions,
             DurationStats durations,
+            Predicate<String> isKnown,
             Function<String, Optional<String>> tenantOf,
             CrashAttribution attribution,
             Trials trials) {
         this.attribution = attribution;
         this.trials = trials;
+        this.isKnown = isKnown;
         this.tenantOf = tenantOf;
         this.durations = durations;
         this.jobs = jobs;
@@ -68,7 +77,8 @@
         this.actions = actions;
     }
 
-    void onReport(WorkerState worker, long requestedAtMs, WorkerReport report, long nowMs, long wallMs) {
+    void onReport(WorkerState worker, SentHold hold, WorkerReport report, long nowMs, long wallMs) {
+        long requestedAtMs = hold.sentAtMs();
         if (worker.answered && report.bootWallMs() != worker.bootWallMs) {
             onNewIncarnation(worker, report, nowMs);
         }
@@ -85,6 +95,7 @@
         worker.brokenAtMs = -1;
         worker.brokenOff = false;
         worker.lastAnswerMs = nowMs;
+        worker.tokenAcceptedAtMs = hold.sentAtMs();
         worker.clockMs = report.clockMs();
         worker.clockAtMs = nowMs;
         for (EndedRun ended : report.ended()) {
@@ -99,11 +110,17 @@
             RunningTask running = present.remove(run.run.toString());
             if (running != null) {
                 onRunPresent(run, running, requestedAtMs, nowMs);
-            } else if (requestedAtMs >= run.resolvedAtMs) {
-                onRunAbsent(run, nowMs, wallMs);
+            } else if (report.isComplete() && run.mustBeIn(hold)) {
+                onRunAbsent(run, hold, nowMs, wallMs);
             }
         }
         present.values().forEach(running -> adopt(worker, running, nowMs));
+        worker.hasReportedAll |= report.isComplete();
+    }
+
+    /** Applies the ends of runs that were reported before this job was known. */
+    void onJobKnown(JobState job, long nowMs, long wallMs) {
+        unknownJobEnds.take(job.job.id()).forEach(ended -> applyUntracked(ended, nowMs, wallMs));
     }
 
     /** Runs of the earlier incarnation are missing from the report; a start just sent may belong to the new one. */
@@ -113,6 +130,8 @@
                 .filter(run -> run.phase != Phase.STARTING && !present.contains(run.run))
                 .toList();
         attribution.onLost(worker, lost, nowMs);
+        worker.runs.values().forEach(run -> run.stopAccepted = false);
+        worker.onClockRestarted(nowMs);
         actions.add(new PoolAction.WorkerChanged(worker.id(), "restarted", "reports a new start time"));
         worker.appliedSequence = 0;
         worker.durableSequence = 0;
@@ -135,20 +154,20 @@
             attribution.onLost(worker, List.copyOf(worker.runs.values()), nowMs);
             actions.add(new PoolAction.WorkerChanged(worker.id(), "lost", reason));
             for (RunState run : List.copyOf(worker.runs.values())) {
-                lose(run, reason, nowMs, wallMs);
+                lose(run, reason, EventSequence.NEVER, nowMs, wallMs);
             }
         }
     }
 
-    /** Ends a run of which the worker reports no end. */
-    private void lose(RunState run, String reason, long nowMs, long wallMs) {
+    /** Ends a run of which the worker reports no end, after the event of a certain number. */
+    private void lose(RunState run, String reason, long shownBy, long nowMs, long wallMs) {
         if (run.task != null) {
             run.task.lostRuns++;
             if (run.task.crashRecord().isExposed(run.run.attempt())) {
                 run.task.crashRecord().endExposure();
                 jobEvents.markDirty(run.task.step.job);
             }
-            actions.add(PoolAction.RunLost.of(run, reason, nowMs));
+            actions.add(PoolAction.RunLost.of(run, reason, shownBy, nowMs));
         }
         finish(run, RunEnd.LEASE_EXPIRED, nowMs, wallMs);
     }
@@ -162,7 +181,7 @@
         }
         if (run.phase == Phase.STARTING || run.phase == Phase.UNRESOLVED) {
             run.phase = Phase.RUNNING;
-            run.resolvedAtMs = nowMs;
+            run.onResolved();
         }
         run.startOutcomeUnknown = false;
         run.lastSeenMs = nowMs;
@@ -211,13 +230,17 @@
         }
     }
 
-    private void onRunAbsent(RunState run, long nowMs, long wallMs) {
+    private void onRunAbsent(RunState run, SentHold hold, long nowMs, long wallMs) {
         if (run.startOutcomeUnknown && !run.stopAccepted) {
             // An accepted stop prevents a start that arrives late from taking effect.
             stop(run, nowMs, "outcome of start is unknown");
             return;
         }
-        lose(run, "missing from a report", nowMs, wallMs);
+        if (run.outdated) {
+            free(run);
+            return;
+        }
+        lose(run, "missing from a report", hold.number(), nowMs, wallMs);
     }
 
     private void adopt(WorkerState worker, RunningTask running, long nowMs) {
@@ -231,13 +254,14 @@
         run.partial = true;
         run.charged = known == null ? Resources.NONE.atLeast(worker.free()) : known.step.spec.perTask();
         run.phase = Phase.RUNNING;
-        run.resolvedAtMs = nowMs;
+        run.onResolved();
         run.onAccepted(nowMs);
         worker.occupy(run);
+        if (task != null) {
+            raiseAttempt(task, running.run().attempt());
+        }
         if (needed && task != null) {
             task.run = run;
-            task.lastAttempt = Math.max(task.lastAttempt, running.run().attempt());
-            task.step.highestAttempt = Math.max(task.step.highestAttempt, task.lastAttempt);
             if (!running.checkpoint().isEmpty()) {
                 JobEvents.keepCheckpoint(task, running.checkpoint());
             }
@@ -267,7 +291,7 @@
             if (run.phase == Phase.STARTING) {
                 run.phase = Phase.RUNNING;
             }
-            run.resolvedAtMs = nowMs;
+            run.onResolved();
             return;
         }
         if (answer == null) {
@@ -275,46 +299,83 @@
             if (run.phase == Phase.STARTING) {
                 run.phase = Phase.UNRESOLVED;
             }
-            run.resolvedAtMs = nowMs;
+            run.onResolved();
             return;
         }
-        run.worker.release(run);
         TaskState task = run.task;
-        if (task == null || task.run != run) {
+        if (answer == Answer.OUTDATED && task != null) {
+            // A run of the task has ended or was stopped there; the next report tells how.
+            task.step.tasks.forEach(t -> t.lastAttempt += PoolTiming.ATTEMPT_GAP);
+            run.outdated = true;
+            run.phase = Phase.UNRESOLVED;
+            run.onResolved();
+            return;
+        }
+        free(run);
+        if (task == null) {
             return;
         }
-        task.run = null;
         StepState step = task.step;
         switch (answer) {
-            case OUTDATED -> step.tasks.forEach(t -> t.lastAttempt += PoolTiming.ATTEMPT_GAP);
             case NO_TICKET -> step.expireTicket(run.worker.id());
             case UNHEALTHY -> run.worker.health.onFailure(nowMs);
             default -> run.worker.lastHoldFailed = true;
         }
     }
 
+    /** Releases a run that was never executed. */
+    private static void free(RunState run) {
+        run.worker.release(run);
+        if (run.task != null && run.task.run == run) {
+            run.task.run = null;
+        }
+    }
+
+    private static void raiseAttempt(TaskState task, int attempt) {
+        task.lastAttempt = Math.max(task.lastAttempt, attempt);
+        task.step.highestAttempt = Math.max(task.step.highestAttempt, task.lastAttempt);
+    }
+
     void onStopReply(RunState run, @Nullable Answer answer, long nowMs) {
         if (answer == Answer.ACCEPTED || answer == Answer.OUTDATED) {
             run.stopAccepted = true;
-            run.resolvedAtMs = nowMs;
+            run.onResolved();
         }
     }
 
     private void onRunEnded(WorkerState worker, EndedRun ended, long nowMs, long wallMs) {
         RunState run = worker.runs.get(ended.run());
-        TaskState task = find(unfinished, ended.run().task());
-        if (task != null) {
-            task.lastAttempt = Math.max(task.lastAttempt, ended.run().attempt());
-            task.step.highestAttempt = Math.max(task.step.highestAttempt, task.lastAttempt);
-            if (!ended.checkpoint().isEmpty()) {
-                JobEvents.keepCheckpoint(task, ended.checkpoint());
+        if (run == null || run.task == null) {
+            if (run != null) {
+                worker.release(run);
             }
+            applyUntracked(ended, nowMs, wallMs);
+            return;
+        }
+        raiseAttempt(run.task, ended.run().attempt());
+        if (!ended.checkpoint().isEmpty()) {
+            JobEvents.keepCheckpoint(run.task, ended.checkpoint());
+        }
+        finish(run, ended.end(), nowMs, wallMs);
+    }
+
+    /** Applies the end of a run that is not the run of its task: an earlier owner has started it. */
+    private void applyUntracked(EndedRun ended, long nowMs, long wallMs) {
+        if (!isKnown.test(ended.run().task().jobId())) {
+            unknownJobEnds.add(ended);
+            return;
+        }
+        TaskState task = find(unfinished, ended.run().task());
+        if (task == null) {
+            return;
+        }
+        raiseAttempt(task, ended.run().attempt());
+        if (!ended.checkpoint().isEmpty()) {
+            JobEvents.keepCheckpoint(task, ended.checkpoint());
         }
-        if (run != null) {
-            finish(run, ended.end(), nowMs, wallMs);
-        } else if (task != null) {
-            // The end of a run that this owner doesn't track: an earlier owner has not acknowledged it.
-            jobEvents.apply(task, ended.run().attempt(), ended.end(), worker, nowMs, wallMs);
+        jobEvents.apply(task, ended.run().attempt(), ended.end(), nowMs, wallMs);
+        if (task.done && task.run != null) {
+            stopIfRunning(task.run, nowMs, "another run of the task has succeeded");
         }
     }
 
@@ -335,7 +396,7 @@
         } else {
             durations.onStopped(run, task.step);
         }
-        jobEvents.apply(task, run.run.attempt(), end, run.worker, nowMs, wallMs);
+        jobEvents.apply(task, run.run.attempt(), end, nowMs, wallMs);
     }
 
     private void stop(RunState run, long nowMs, String reason) {
--- a/library/src/main/java/io/radishspindle/pool/core/RunState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/RunState.java
@@ -46,12 +46,14 @@
     long lastSeenMs;
 
     Phase phase = Phase.STARTING;
-    /** Absence from a report that was requested before this time doesn't show that the run has ended. */
-    long resolvedAtMs;
+    /** Number of the answer or report that told the effect of the last order; see {@link #mustBeIn}. */
+    long resolvedBy = EventSequence.NEVER;
 
     /** The start order got no answer, so that it may still be executed. */
     boolean startOutcomeUnknown;
-    /** The worker has accepted a stop, which also prevents a start that arrives later. */
+    /** The worker has rejected the start for a run of the task of which this owner doesn't know. */
+    boolean outdated;
+    /** This incarnation of the worker has accepted a stop, which also prevents a start that arrives later. */
     boolean stopAccepted;
 
     /** When the worker was first known to have the run; -1 before that. */
@@ -78,7 +80,6 @@
         this.sentAtMs = sentAtMs;
         lastSeenMs = sentAtMs;
         partial = task != null && !task.checkpoint.isEmpty();
-        resolvedAtMs = Long.MAX_VALUE;
     }
 
     /** Marks the run as stopping; returns the action that stops it. */
@@ -100,6 +101,16 @@
         }
     }
 
+    /** The effect of the last order about the run, or the run itself, is known from now on. */
+    void onResolved() {
+        resolvedBy = worker.calls.next();
+    }
+
+    /** Whether the report of a hold would contain the run if it had not ended. */
+    boolean mustBeIn(SentHold hold) {
+        return hold.number() > resolvedBy;
+    }
+
     boolean isActive() {
         return phase == Phase.STARTING || phase == Phase.RUNNING;
     }
--- a/library/src/main/java/io/radishspindle/pool/core/WorkerState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/WorkerState.java
@@ -17,8 +17,12 @@
 final class WorkerState {
     final Map<Run, RunState> runs = new LinkedHashMap<>();
     final WorkerHealth health = new WorkerHealth();
+    /** The calls to the worker and the answers from it. */
+    final EventSequence calls = new EventSequence();
+
     private final TenantLimits limits;
     private final WorkerRoster roster;
+    private final ActiveRuns activeRuns;
     WorkerEntry entry;
     /** Whether the worker is registered in the store. */
     boolean listed = true;
@@ -27,6 +31,8 @@
 
     long bootWallMs;
     boolean answered;
+    /** Whether this owner knows all runs and ends that earlier owners left on the worker. */
+    boolean hasReportedAll;
     /** The registration that was current at the last answer, to this owner or to an earlier one. */
     @Nullable
     WorkerEntry entryAtLastAnswer;
@@ -41,6 +47,9 @@
     CrashRecord trial;
 
     long lastAnswerMs;
+    /** The worker has accepted the token of this owner at this time or later: when its last answered hold was sent. */
+    long tokenAcceptedAtMs;
+
     long clockMs;
     long clockAtMs;
     /** Time on the owner's clock at which all leases granted to the worker have certainly expired. */
@@ -55,10 +64,11 @@
     long drainingSinceMs = -1;
     Resources used = Resources.NONE;
 
-    WorkerState(WorkerEntry entry, TenantLimits limits, WorkerRoster roster) {
+    WorkerState(WorkerEntry entry, TenantLimits limits, WorkerRoster roster, ActiveRuns activeRuns) {
         this.entry = entry;
         this.limits = limits;
         this.roster = roster;
+        this.activeRuns = activeRuns;
     }
 
     String id() {
@@ -89,6 +99,7 @@
             release(replaced);
         }
         runs.put(run.run, run);
+        activeRuns.onOccupied(run.run.task());
         used = used.plus(run.reserved);
         if (run.tenant != null) {
             limits.onOccupied(run.tenant, run.charged);
@@ -97,6 +108,7 @@
 
     void release(RunState run) {
         if (runs.remove(run.run, run)) {
+            activeRuns.onReleased(run.run.task());
             used = used.minus(run.reserved);
             if (run.tenant != null) {
                 limits.onReleased(run.tenant, run.charged);
@@ -117,6 +129,17 @@
         return answered && nowMs - lastAnswerMs < PoolTiming.UNRESPONSIVE_AFTER_MS;
     }
 
+    /** Treats the worker as one that has not answered for some time before {@code atMs}. */
+    void distrustAnswers(long atMs) {
+        lastAnswerMs = Math.min(lastAnswerMs, atMs - PoolTiming.UNRESPONSIVE_AFTER_MS);
+        tokenAcceptedAtMs = Math.min(tokenAcceptedAtMs, atMs - PoolTiming.CONFIRMATION_MS);
+    }
+
+    /** Whether the worker shows that this owner still owned the pool a short time ago. */
+    boolean confirmsOwner(long nowMs) {
+        return answered && nowMs - tokenAcceptedAtMs < PoolTiming.CONFIRMATION_MS;
+    }
+
     /** Whether an owner of the pool has ever got an answer, without which there may be no worker at all. */
     boolean hasEverAnswered() {
         return entryAtLastAnswer != null;
@@ -135,6 +158,12 @@
         return unresponsive && nowMs > leaseBoundMs && (polledSince || runs.isEmpty());
     }
 
+    /** An expiry that was sent on the clock of an earlier incarnation is shortened to the longest lease. */
+    void onClockRestarted(long nowMs) {
+        long boundMs = nowMs + (long) Math.ceil(PoolTiming.MAX_LEASE_MS / PoolTiming.MIN_CLOCK_RATE);
+        leaseBoundMs = Math.max(leaseBoundMs, boundMs + PoolTiming.LEASE_MARGIN_MS);
+    }
+
     /** Grants a lease: returns its expiry on the worker's clock and raises the bound on the owner's clock. */
     long grantLease(long nowMs) {
         long sinceAnswerMs = nowMs - clockAtMs;
--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
@@ -77,6 +77,7 @@
     private boolean loaded;
     private boolean closed;
     private boolean recovered;
+    private boolean hasMajority;
     private long tickTimer = -1;
     private int ticks;
 
@@ -225,6 +226,7 @@
 
     private void tick() {
         passes.request();
+        logMajority();
         ticks++;
         if (ticks % REMOVAL_INTERVAL_TICKS == 0) {
             removal.removeBatch();
@@ -247,6 +249,23 @@
         }
     }
 
+    /** Two owners that have a majority at the same time would show here. */
+    private void logMajority() {
+        boolean majority = scheduler.hasQuorum(clock.nowMs());
+        if (majority != hasMajority) {
+            hasMajority = majority;
+            if (log.allows("majority")) {
+                Logger.info(
+                        "event=majority-{} pool={} token={} workers={} silent={}",
+                        majority ? "gained" : "lost",
+                        pool,
+                        fencingToken,
+                        scheduler.workerIds().size(),
+                        scheduler.silentWorkers());
+            }
+        }
+    }
+
     private void logLoad() {
         PoolLoad load = scheduler.load(clock.nowMs(), clock.wallMs());
         Logger.info(
@@ -337,8 +356,16 @@
                 });
     }
 
-    void onJobStored(PoolJob job) {
-        if (loaded && scheduler.submit(job)) {
+    /** @param claim claim under which the job was stored; 0 if it is unknown or there was none */
+    void onJobStored(PoolJob job, long claim) {
+        onClaimSeen(claim);
+        if (closed || !loaded) {
+            return;
+        }
+        boolean added = claim == fencingToken
+                ? scheduler.submit(job)
+                : scheduler.submitInherited(job, clock.nowMs(), clock.wallMs());
+        if (added) {
             requestPass();
         }
     }
@@ -395,10 +422,10 @@
         return pool;
     }
 
-    /** The claim in force has this revision, or a later one. */
+    /** A claim of this revision has been in force. */
     void onClaimSeen(long revision) {
         if (revision > fencingToken) {
-            closeAsSuperseded("the store has a claim of revision " + revision);
+            closeAsSuperseded("the pool has a claim of revision " + revision);
         }
     }
 
@@ -482,7 +509,8 @@
             if (StoreKeys.isCancellation(pool, item.key())) {
                 onCancelStored(StoreKeys.lastPart(item.key()));
             } else if (!scheduler.isKnown(StoreKeys.lastPart(item.key()))) {
-                StoredJobs.unfinishedJob(item).ifPresent(PoolOwner.this::onJobStored);
+                long claim = Records.claimOfJob(item.key(), value);
+                StoredJobs.unfinishedJob(item).ifPresent(job -> onJobStored(job, claim));
             }
         }
     }
