--- a/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
@@ -68,7 +68,8 @@
         jobEvents = new JobEvents(unfinished, dirty, actions);
         attribution = new CrashAttribution(workers, dirty, jobEvents, actions);
         trials = new Trials(workers, dirty);
-        events = new RunEvents(jobs, unfinished, jobEvents, actions, durations, this::isKnown, this::tenantOf, attribution, trials);
+        events = new RunEvents(
+                jobs, unfinished, jobEvents, actions, durations, this::isKnown, this::tenantOf, attribution, trials);
         progress = new ProgressLedger(jobs, workers, dirty);
         order = new TenantOrder(options.weights());
         recovery = new Recovery(workers, unfinished, options.limits(), options.roster());
--- a/library/src/main/java/io/radishspindle/pool/core/Recovery.java
+++ b/library/src/main/java/io/radishspindle/pool/core/Recovery.java
@@ -16,8 +16,8 @@
  */
 final class Recovery {
     /**
-     * Longest time for which a run of the previous owner may go on once a majority of the workers has accepted the token
-     * of this one, in milliseconds: the previous owner may renew leases as long as it counts that majority as its own.
+     * Longest time for which a run of the previous owner may go on once a majority of the workers has accepted the
+     * token of this one, in milliseconds: the previous owner may renew leases as long as it counts that majority.
      */
     private static final long DURATION_MS =
             (long) ((PoolTiming.LEASE_MS + PoolTiming.CONFIRMATION_MS) / PoolTiming.MIN_CLOCK_RATE);
--- a/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
+++ b/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
@@ -24,8 +24,8 @@
  * Applies the reports of workers and their answers to orders to the runs. Belongs to its scheduler; not thread-safe.
  *
  * <p>Invariants: a run is released only by a reported end, by its absence from a complete report that was requested
- * after the last order about it was answered, by a start that was rejected for a reason other than an unknown run of its
- * task, or by the expiry of all leases of its worker; the end of every run is applied to its task, also if the task has
+ * after the last order about it was answered, by a start that was rejected for a reason other than an unknown run of
+ * its task, or by the expiry of all leases of its worker; the end of every run is applied to its task, also if it has
  * another run, or if its job becomes known later.
  */
 final class RunEvents {
--- a/library/src/main/java/io/radishspindle/pool/core/UnknownJobEnds.java
+++ b/library/src/main/java/io/radishspindle/pool/core/UnknownJobEnds.java
@@ -24,7 +24,8 @@
     };
 
     void add(EndedRun ended) {
-        byJob.computeIfAbsent(ended.run().task().jobId(), id -> new ArrayList<>()).add(ended);
+        byJob.computeIfAbsent(ended.run().task().jobId(), id -> new ArrayList<>())
+                .add(ended);
     }
 
     /** Returns the ends of a job that has become known, and forgets them. */
--- a/library/src/main/java/io/radishspindle/pool/runtime/JobIntake.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/JobIntake.java
@@ -176,8 +176,8 @@
     }
 
     /**
-     * Some ids exist already, or a pool has another owner: the submissions of existing ids succeed as the same jobs; the
-     * others are written again.
+     * Some ids exist already, or a pool has another owner: the submissions of existing ids succeed as the same jobs;
+     * the others are written again.
      */
     private void onConflict(List<Pending> batch, TxnResult result) {
         result.current().stream().filter(item -> StoreKeys.isOwner(item.key())).forEach(view::onChanged);
--- a/library/src/main/java/io/radishspindle/pool/runtime/Records.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/Records.java
@@ -46,7 +46,7 @@
     /** The tenant of a stored job that has not ended, read without its other fields. */
     private record JobTenant(@Nullable String tenant) {}
 
-    /** The claim on the pool when an unfinished job was stored, read without the job; see {@link #encode(PoolJob, long)}. */
+    /** The claim on the pool when an unfinished job was stored, read without the job. */
     private record JobClaim(long claim) {}
 
     /** Number of slices of a pool. */
--- a/library/src/test/java/io/radishspindle/pool/core/OutdatedStartTest.java
+++ b/library/src/test/java/io/radishspindle/pool/core/OutdatedStartTest.java
@@ -11,8 +11,8 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /**
- * Guards against a second run of a succeeded task: a worker rejects a start as outdated since a run ended there of which
- * the owner has not heard.
+ * Guards against a second run of a succeeded task: a worker rejects a start as outdated since a run ended there of
+ * which the owner has not heard.
  */
 class OutdatedStartTest {
     @ParameterizedTest
--- a/library/src/test/java/io/radishspindle/pool/core/TwoOwnersSimulation.java
+++ b/library/src/test/java/io/radishspindle/pool/core/TwoOwnersSimulation.java
@@ -212,7 +212,7 @@
             });
         }
 
-        /** Answers at the next end, or once the wait is over; a hold of a token that was outrun meanwhile is rejected. */
+        /** Answers at the next end, or once the wait is over; a hold of an older token is rejected by then. */
         private void answerHold(SimWorker worker, SentHold hold, long bootWallMs, long untilMs) {
             String id = worker.entry.id();
             if (worker.bootWallMs != bootWallMs) {
