End the exposure of a run whose end is known

A run that was noted as exposed when its worker's connections broke, and whose end was then reported or whose start was rejected, kept the note. The note ends with its run now.

--- a/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
+++ b/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
@@ -167,10 +167,7 @@
     private void lose(RunState run, String reason, long shownBy, long nowMs, long wallMs) {
         if (run.task != null) {
             run.task.lostRuns++;
-            if (run.task.crashRecord().isExposed(run.run.attempt())) {
-                run.task.crashRecord().endExposure();
-                jobEvents.markDirty(run.task.step.job);
-            }
+            endExposure(run.task, run.run.attempt());
             actions.add(PoolAction.RunLost.of(run, reason, shownBy, nowMs));
         }
         finish(run, RunEnd.LEASE_EXPIRED, nowMs, wallMs);
@@ -328,10 +325,23 @@
     }
 
     /** Releases a run that was never executed. */
-    private static void free(RunState run) {
+    private void free(RunState run) {
         run.worker.release(run);
-        if (run.task != null && run.task.run == run) {
-            run.task.run = null;
+        TaskState task = run.task;
+        if (task == null) {
+            return;
+        }
+        endExposure(task, run.run.attempt());
+        if (task.run == run) {
+            task.run = null;
+        }
+    }
+
+    /** The end of an attempt is known, so that nothing has to wait for what becomes of its worker. */
+    private void endExposure(TaskState task, int attempt) {
+        if (task.crashRecord().isExposed(attempt)) {
+            task.crashRecord().endExposure();
+            jobEvents.markDirty(task.step.job);
         }
     }
 
@@ -358,6 +368,7 @@
             return;
         }
         raiseAttempt(run.task, ended.run().attempt());
+        endExposure(run.task, ended.run().attempt());
         if (!ended.checkpoint().isEmpty()) {
             JobEvents.keepCheckpoint(run.task, ended.checkpoint());
         }
@@ -375,6 +386,7 @@
             return;
         }
         raiseAttempt(task, ended.run().attempt());
+        endExposure(task, ended.run().attempt());
         if (!ended.checkpoint().isEmpty()) {
             JobEvents.keepCheckpoint(task, ended.checkpoint());
         }
