--- a/library/src/test/java/io/radishspindle/pool/core/WorkerFaultsTest.java
+++ b/library/src/test/java/io/radishspindle/pool/core/WorkerFaultsTest.java
@@ -23,7 +23,7 @@
     private static final long FAULTS_UNTIL_MS = 45_000;
     private static final long END_MS = 130_000;
 
-    /** A run ended after its worker's connections had broken; the note of it held back the rest of its step for ever. */
+    /** A run ended after its worker's connections had broken; the note of it held back its step for ever. */
     private static final long RUN_ENDED_AFTER_A_BREAK_SEED = 30;
 
     /** Seeds of the test; {@code -Dpool.seeds=first-last} selects another range. */
