--- a/review/harness-2/Vm.java
+++ b/review/harness-2/Vm.java
@@ -81,7 +81,10 @@
     }
 
     void signal(String name) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).inheritIO().start().waitFor();
+        new ProcessBuilder("sh", "-c", "kill -" + name + " " + process.pid())
+                .inheritIO()
+                .start()
+                .waitFor();
     }
 
     void kill() {
