--- a/review/harness-2/Executor.java
+++ b/review/harness-2/Executor.java
@@ -49,6 +49,7 @@
     private final int port;
     private Web web;
     private boolean up = true;
+    private boolean dark;
     private long bornWallMs = System.currentTimeMillis();
     private long bornMs = Clock.ms();
     private final Map<String, Run> runs = new LinkedHashMap<>();
@@ -172,7 +173,24 @@
         notifyAll();
     }
 
+    /** Loses power for good: what it had is gone, and it is silent from now on. */
+    synchronized void goDark() {
+        up = false;
+        dark = true;
+        runs.clear();
+        ends.clear();
+        record.add("executor " + id + " has lost power and is silent");
+        notifyAll();
+    }
+
+    private synchronized void staySilentIfDark() throws InterruptedException {
+        while (dark) {
+            wait();
+        }
+    }
+
     private void handle(Web.Call call) throws IOException, InterruptedException {
+        staySilentIfDark();
         if (!id.equals(call.header("Target-Instance"))) {
             answer(call, 421, new LinkedHashMap<>());
             return;
@@ -195,12 +213,13 @@
         }
     }
 
-    private void answer(Web.Call call, int status, Map<String, Object> body) throws IOException {
+    private void answer(Web.Call call, int status, Map<String, Object> body) throws IOException, InterruptedException {
+        staySilentIfDark();
         body.put("clock_ms", clockMs());
         call.answer(status, body);
     }
 
-    private void reject(Web.Call call, String reason) throws IOException {
+    private void reject(Web.Call call, String reason) throws IOException, InterruptedException {
         answer(call, 409, new LinkedHashMap<>(Map.of("reason", reason)));
     }
 
@@ -210,7 +229,7 @@
         }
     }
 
-    private void start(Web.Call call, Map<String, Object> order) throws IOException {
+    private void start(Web.Call call, Map<String, Object> order) throws IOException, InterruptedException {
         String task = (String) order.get("task");
         long attempt = (long) order.get("attempt");
         String refusal = null;
@@ -247,7 +266,7 @@
         end(run, how);
     }
 
-    private void stop(Web.Call call, Map<String, Object> order) throws IOException {
+    private void stop(Web.Call call, Map<String, Object> order) throws IOException, InterruptedException {
         String task = (String) order.get("task");
         long attempt = (long) order.get("attempt");
         synchronized (this) {
