--- a/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
@@ -471,11 +471,11 @@
         return jobs.containsKey(jobId) || ended.contains(jobId);
     }
 
-    /** Returns the number of jobs of a queue of which no task has started. */
-    public int pending(String queue) {
+    /** Returns the number of jobs of a queue of which no task has started; see {@link PoolJob#isOfQueue}. */
+    public int pending(String queue, @Nullable String address) {
         int count = 0;
         for (JobState job : unfinished.values()) {
-            if (job.phase == JobPhase.QUEUED && job.job.queue().equals(queue)) {
+            if (job.phase == JobPhase.QUEUED && job.job.isOfQueue(queue, address)) {
                 count++;
             }
         }
--- a/library/src/main/java/io/radishspindle/pool/model/PoolJob.java
+++ b/library/src/main/java/io/radishspindle/pool/model/PoolJob.java
@@ -6,13 +6,15 @@
 /**
  * An accepted job with the policy that was in force when it was accepted. Immutable and thread-safe.
  *
- * @param id chosen by the caller; unique within the pool
+ * @param id chosen by the caller; unique among the jobs of all pools
  * @param payload passed to the worker with each start
  * @param occurrences number of times the steps run, at least 1
  * @param firstStartWallMs Unix milliseconds at which occurrence 0 is due; 0 for immediately
  * @param periodMs milliseconds between occurrences
  * @param acceptedWallMs Unix milliseconds of the first submission, on the clock of the accepting VM
  * @param tenant name of the tenant whose key came with the submission; null if there was none
+ * @param address {@link QueuePolicy#address} of the queue; null if an earlier release stored the job, which registers no
+ *     ids
  */
 public record PoolJob(
         String id,
@@ -29,7 +31,8 @@
         double slowdownFactor,
         long objectiveMs,
         @Nullable AdvicePolicy advice,
-        @Nullable String tenant) {
+        @Nullable String tenant,
+        @Nullable String address) {
     public PoolJob {
         steps = List.copyOf(steps);
     }
@@ -53,6 +56,20 @@
                         slowdownFactor,
                         objectiveMs,
                         advice,
-                        tenant);
+                        tenant,
+                        address);
+    }
+
+    /** Whether the id was registered when the job was stored. */
+    public boolean hasRegisteredId() {
+        return address != null;
+    }
+
+    /**
+     * Whether the job is of a queue. The address decides, as a new version of the configuration may give the queue
+     * another name; the name decides if an earlier release has left out the address.
+     */
+    public boolean isOfQueue(String name, @Nullable String queueAddress) {
+        return address == null || queueAddress == null ? queue.equals(name) : address.equals(queueAddress);
     }
 }
--- a/library/src/main/java/io/radishspindle/pool/model/QueuePolicy.java
+++ b/library/src/main/java/io/radishspindle/pool/model/QueuePolicy.java
@@ -23,4 +23,9 @@
         double slowdownFactor,
         long objectiveMs,
         boolean anonymous,
-        @Nullable AdvicePolicy advice) {}
+        @Nullable AdvicePolicy advice) {
+    /** Host and prefix, by which callers know the queue in every version of the configuration that has it. */
+    public String address() {
+        return host + prefix;
+    }
+}
--- a/library/src/main/java/io/radishspindle/pool/runtime/ControlView.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/ControlView.java
@@ -6,6 +6,7 @@
 import io.radishspindle.pool.runtime.Records.Owner;
 import io.radishspindle.pool.runtime.Records.Slices;
 import io.radishspindle.protocol.PeerDirectory;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -13,13 +14,14 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
 /**
  * This VM's view of the other VMs and of the owners and slice counts of pools, kept up to date by a watch of the shared
  * store. Confined to one event loop.
  *
  * <p>Invariants: the address of a VM stays known after its entry was removed, so that VMs still reach each other while
- * the store is unavailable; a slice count that was read stays known.
+ * the store is unavailable; slice counts and slices of queues that were read stay known.
  */
 final class ControlView implements PrefixWatch.Listener, PeerDirectory {
     /** An owner with the revision of its claim, which is its fencing token. */
@@ -35,7 +37,10 @@
 
     private final Map<String, Ownership> owners = new HashMap<>();
     private final Map<String, Long> ownerlessSinceMs = new HashMap<>();
-    private final Map<String, Integer> sliceCounts = new HashMap<>();
+    private final Map<String, Integer> sliceCounts = new TreeMap<>();
+    /** Slices that have got jobs of a queue, by the hash of the queue's address. */
+    private final Map<String, Set<String>> queueSlices = new HashMap<>();
+
     private long version;
 
     ControlView(Clock clock) {
@@ -88,6 +93,10 @@
         } else if (StoreKeys.isSlices(item.key()) && value != null) {
             Records.decode(item.key(), value, Slices.class)
                     .onSuccess(slices -> sliceCounts.put(StoreKeys.slicedPool(item.key()), slices.count()));
+        } else if (StoreKeys.isQueueSlice(item.key()) && value != null) {
+            queueSlices
+                    .computeIfAbsent(StoreKeys.queueHashOf(item.key()), ignored -> new TreeSet<>())
+                    .add(StoreKeys.sliceOfQueue(item.key()));
         }
     }
 
@@ -106,6 +115,16 @@
         return Optional.ofNullable(sliceCounts.get(pool));
     }
 
+    /** All pools whose number of slices is known, also those that the configuration no longer has. */
+    Set<String> sizedPools() {
+        return Collections.unmodifiableSet(sliceCounts.keySet());
+    }
+
+    /** Slices that have got jobs of a queue in any version of the configuration. */
+    Set<String> slicesOfQueue(String address) {
+        return Collections.unmodifiableSet(queueSlices.getOrDefault(StoreKeys.queueHash(address), Set.of()));
+    }
+
     /** VMs whose entries are present and that are not draining. */
     Map<String, Member> active() {
         return active;
--- a/library/src/main/java/io/radishspindle/pool/runtime/EndedJobRemoval.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/EndedJobRemoval.java
@@ -14,7 +14,7 @@
     /** Retention of ended jobs, in milliseconds: the platform requires 120 s, and clients may retry late. */
     private static final long RETENTION_MS = 180_000;
 
-    private static final int BATCH_JOBS = SharedStore.MAX_TXN_ENTRIES / 3 - 1;
+    private static final int BATCH_JOBS = SharedStore.MAX_TXN_ENTRIES / 4 - 1;
 
     private final Clock clock;
     private final SharedStore store;
@@ -38,6 +38,7 @@
         }
         List<String> keys = new ArrayList<>();
         ids.forEach(id -> {
+            keys.add(StoreKeys.registration(id));
             keys.add(StoreKeys.job(pool, id));
             keys.add(StoreKeys.cancellation(pool, id));
             keys.add(StoreKeys.progress(pool, id));
--- a/library/src/main/java/io/radishspindle/pool/runtime/JobDirectory.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/JobDirectory.java
@@ -43,6 +43,7 @@
 
     private final Clock clock;
     private final SharedStore store;
+    private final JobLocator locator;
     private final PeerMessenger messenger;
     private final ControlView view;
     private final NodeIdentity self;
@@ -53,37 +54,63 @@
     JobDirectory(
             Clock clock,
             SharedStore store,
+            JobLocator locator,
             PeerMessenger messenger,
             ControlView view,
             NodeIdentity self,
             Map<String, PoolOwner> owned) {
         this.clock = clock;
         this.store = store;
+        this.locator = locator;
         this.messenger = messenger;
         this.view = view;
         this.self = self;
         this.owned = owned;
     }
 
-    /** Phase and tenant of a job; empty if no such job exists. */
-    Future<Either<Failure, Optional<JobSummary>>> summary(String pool, String jobId) {
-        PoolOwner local = owned.get(pool);
-        if (local != null) {
-            Optional<JobSummary> known = local.currentSummary(jobId);
-            return known.isPresent() ? Future.succeededFuture(Either.right(known)) : summaryFromStore(pool, jobId);
+    /**
+     * Phase and tenant of a job; empty if no such job exists.
+     *
+     * @param likelySlice slice that a new job with this id would have, whose owner is asked first
+     */
+    Future<Either<Failure, Optional<JobSummary>>> summary(String likelySlice, String jobId) {
+        return summaryFromOwner(likelySlice, jobId)
+                .compose(reported -> reported.isPresent()
+                        ? Future.succeededFuture(Either.right(reported))
+                        : locator.locate(jobId).compose(found -> summaryIn(found, likelySlice, jobId)));
+    }
+
+    /** Phase and tenant of a job whose queue is sent to a pool without slices; empty if no such job exists. */
+    Future<Either<Failure, Optional<JobSummary>>> summary(String jobId) {
+        return locator.locate(jobId).compose(found -> summaryIn(found, "", jobId));
+    }
+
+    private Future<Either<Failure, Optional<JobSummary>>> summaryIn(
+            Either<Failure, Optional<String>> found, String askedSlice, String jobId) {
+        if (found.isLeft() || found.get().isEmpty()) {
+            return Future.succeededFuture(found.map(none -> Optional.empty()));
         }
-        Optional<String> owner = remoteOwner(pool);
-        if (owner.isEmpty()) {
-            return summaryFromStore(pool, jobId);
+        String slice = found.get().get();
+        if (slice.equals(askedSlice)) {
+            return summaryFromStore(slice, jobId);
         }
-        return messenger
-                .request(owner.get(), new QueryPoolJob(pool, jobId), PoolJobState.class, OWNER_TIMEOUT_MS)
-                .compose(reply -> {
-                    Optional<JobSummary> reported = reply.toJavaOptional().flatMap(JobDirectory::summaryOf);
-                    return reported.isPresent()
-                            ? Future.succeededFuture(Either.right(reported))
-                            : summaryFromStore(pool, jobId);
-                });
+        return summaryFromOwner(slice, jobId)
+                .compose(reported -> reported.isPresent()
+                        ? Future.succeededFuture(Either.right(reported))
+                        : summaryFromStore(slice, jobId));
+    }
+
+    /** Empty if the slice has no owner that answers, or if the owner does not know the job. */
+    private Future<Optional<JobSummary>> summaryFromOwner(String slice, String jobId) {
+        PoolOwner local = owned.get(slice);
+        if (local != null) {
+            return Future.succeededFuture(local.currentSummary(jobId));
+        }
+        return remoteOwner(slice)
+                .map(vm -> messenger
+                        .request(vm, new QueryPoolJob(slice, jobId), PoolJobState.class, OWNER_TIMEOUT_MS)
+                        .map(reply -> reply.toJavaOptional().flatMap(JobDirectory::summaryOf)))
+                .orElseGet(() -> Future.succeededFuture(Optional.empty()));
     }
 
     /** Empty if the owner does not know, or sends a phase that only another release has. */
@@ -129,12 +156,14 @@
 
     /**
      * Number of jobs of a queue without a started task, from the owner or else from its last answer if it is current.
+     *
+     * @param queue name of the queue, for jobs that an earlier release has stored without an address
      */
-    Future<Either<Failure, Integer>> pending(String pool, String queue) {
-        String key = pool + "/" + queue;
+    Future<Either<Failure, Integer>> pending(String pool, String queue, String address) {
+        String key = pool + "/" + address;
         PoolOwner local = owned.get(pool);
         if (local != null) {
-            local.pending(queue).ifPresent(counted -> lastPending.put(key, counted));
+            local.pending(queue, address).ifPresent(counted -> lastPending.put(key, counted));
             return Future.succeededFuture(currentPending(key, queue));
         }
         Optional<String> owner = remoteOwner(pool);
@@ -143,7 +172,7 @@
         }
         long sentAtMs = clock.nowMs();
         return messenger
-                .request(owner.get(), new QueryPending(pool, queue), PendingJobs.class, OWNER_TIMEOUT_MS)
+                .request(owner.get(), new QueryPending(pool, queue, address), PendingJobs.class, OWNER_TIMEOUT_MS)
                 .map(reply -> {
                     reply.toJavaOptional()
                             .flatMap(pending -> PendingCount.received(pending, sentAtMs))
@@ -165,8 +194,15 @@
     }
 
     /** Cancels a job if the caller may access it. The cancellation is durable when this succeeds. */
-    Future<Either<Failure, CancelOutcome>> cancel(String pool, String jobId, Caller caller) {
-        return cancel(pool, jobId, caller, 1);
+    Future<Either<Failure, CancelOutcome>> cancel(String jobId, Caller caller) {
+        return locator.locate(jobId).compose(found -> {
+            if (found.isLeft()) {
+                return Future.succeededFuture(Either.left(found.getLeft()));
+            }
+            return found.get()
+                    .map(slice -> cancel(slice, jobId, caller, 1))
+                    .orElseGet(() -> Future.succeededFuture(Either.right(CancelOutcome.UNKNOWN_JOB)));
+        });
     }
 
     private Future<Either<Failure, CancelOutcome>> cancel(String pool, String jobId, Caller caller, int attempt) {
--- a/library/src/main/java/io/radishspindle/pool/runtime/JobIntake.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/JobIntake.java
@@ -9,6 +9,8 @@
 import io.radishspindle.pool.port.SharedStore.Txn;
 import io.radishspindle.pool.port.SharedStore.TxnResult;
 import io.radishspindle.pool.port.SharedStore.Write;
+import io.radishspindle.pool.runtime.Records.QueueSlice;
+import io.radishspindle.pool.runtime.Records.Registration;
 import io.radishspindle.protocol.message.PoolMessages.JobStored;
 import io.vavr.control.Either;
 import io.vertx.core.Future;
@@ -21,23 +23,32 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.stream.Stream;
 
 /**
  * Stores submitted jobs, several in one conditional write. Any VM can do so without the owner of the pool. Confined to
  * one event loop.
  *
  * <p>Invariants: a submission succeeds only after its job is stored; it fails as not run only if no write of it can
- * still take effect; submissions with the same id are the same job, unless they are of two tenants, when the later one
- * fails; a job is stored only while the claim that its item names is in force, so that no earlier owner of the pool
- * learns of it, and every later owner reads it after its claim.
+ * still take effect; a job is stored together with the registration of its id, which is conditional on the absence of
+ * one, so that an id has one job whichever pool the configuration of a VM names; submissions with the same id are the
+ * same job, unless they are of two tenants or queues, when the later one fails; a job is stored only while the claim
+ * that its item names is in force, so that no earlier owner of the pool learns of it, and every later owner reads it
+ * after its claim.
  */
 final class JobIntake {
-    /** Entries of a transaction that a job takes: a condition and a write. */
-    private static final int ENTRIES_PER_JOB = 2;
+    /** Writes of a transaction that a job takes: the job and its registration. */
+    private static final int WRITES_PER_JOB = 2;
+    /**
+     * Slices that are checked for a job of an earlier release, which has no registration. They take conditions of the
+     * transaction; with more slices, an upgrade and a move of a queue must not coincide.
+     */
+    private static final int MAX_CHECKED_SLICES = 8;
     /** Transactions in flight at once; more than one, so that a slow call doesn't block all submissions. */
     private static final int MAX_IN_FLIGHT = 3;
     /** Delay before a write with an unknown outcome is retried, in milliseconds. */
@@ -50,6 +61,7 @@
     private static final class Pending {
         final PoolJob job;
         final String key;
+        final String registration;
         final long deadlineMs;
         final Promise<Either<Failure, PoolJob>> promise = Promise.promise();
         /** An earlier write of it may still take effect. */
@@ -59,6 +71,7 @@
             this.job = job;
             this.deadlineMs = deadlineMs;
             key = StoreKeys.job(job.pool(), job.id());
+            registration = StoreKeys.registration(job.id());
         }
     }
 
@@ -66,6 +79,7 @@
     private final Clock clock;
     private final SharedStore store;
     private final ControlView view;
+    private final PoolSlices slices;
     private final Consumer<JobStored> onStored;
     private final BooleanSupplier storeUnavailable;
     private final LongSupplier retryAfterMs;
@@ -75,6 +89,7 @@
 
     /**
      * @param view the claims on pools; learns of those that have changed
+     * @param slices the slices that may hold jobs of an earlier release
      * @param onStored called with each job that this VM has stored
      * @param storeUnavailable whether the store is known to be unavailable, so that waiting for it is useless
      * @param retryAfterMs retry delay for a rejected caller, in milliseconds
@@ -84,6 +99,7 @@
             Clock clock,
             SharedStore store,
             ControlView view,
+            PoolSlices slices,
             Consumer<JobStored> onStored,
             BooleanSupplier storeUnavailable,
             LongSupplier retryAfterMs) {
@@ -91,6 +107,7 @@
         this.clock = clock;
         this.store = store;
         this.view = view;
+        this.slices = slices;
         this.onStored = onStored;
         this.storeUnavailable = storeUnavailable;
         this.retryAfterMs = retryAfterMs;
@@ -127,20 +144,36 @@
     private void flush() {
         while (!waiting.isEmpty() && inFlight < MAX_IN_FLIGHT) {
             List<Pending> batch = new ArrayList<>();
-            Set<String> keys = new HashSet<>();
-            Set<String> pools = new HashSet<>();
-            while (!waiting.isEmpty() && fits(waiting.peek(), batch, pools) && keys.add(waiting.peek().key)) {
-                pools.add(waiting.peek().job.pool());
+            Set<String> ids = new HashSet<>();
+            while (!waiting.isEmpty()
+                    && fits(waiting.peek(), batch)
+                    && ids.add(waiting.peek().job.id())) {
                 batch.add(waiting.remove());
             }
             write(batch);
         }
     }
 
-    /** Returns whether a transaction has room for another job, whose pool takes a condition of its own. */
-    private static boolean fits(Pending next, List<Pending> batch, Set<String> pools) {
-        int conditions = pools.size() + (pools.contains(next.job.pool()) ? 0 : 1);
-        return ENTRIES_PER_JOB * (batch.size() + 1) + conditions <= SharedStore.MAX_TXN_ENTRIES;
+    /** Returns whether a transaction has room for another job. */
+    private boolean fits(Pending next, List<Pending> batch) {
+        List<Pending> all = new ArrayList<>(batch);
+        all.add(next);
+        long claims = all.stream().map(pending -> pending.job.pool()).distinct().count();
+        int jobs = all.stream()
+                .mapToInt(pending -> conditions(pending).size() + WRITES_PER_JOB)
+                .sum();
+        return claims + jobs + newQueueSlices(all).size() <= SharedStore.MAX_TXN_ENTRIES;
+    }
+
+    /** Keys that must not exist: the registration, and the job in any slice, where an earlier release stores it. */
+    private List<String> conditions(Pending pending) {
+        String id = pending.job.id();
+        Stream<String> others = slices.all().stream()
+                .limit(MAX_CHECKED_SLICES)
+                .map(slice -> StoreKeys.job(slice, id))
+                .filter(key -> !key.equals(pending.key));
+        return Stream.concat(Stream.of(pending.registration, pending.key), others)
+                .toList();
     }
 
     private void write(List<Pending> batch) {
@@ -151,17 +184,39 @@
             String pool = pending.job.pool();
             long claim = claims.computeIfAbsent(pool, view::claim);
             expected.put(StoreKeys.owner(pool), claim);
-            expected.put(pending.key, 0L);
+            conditions(pending).forEach(key -> expected.put(key, 0L));
             writes.add(new Write(pending.key, Records.encode(pending.job, claim), 0));
+            writes.add(new Write(pending.registration, Records.encode(Registration.of(pending.job)), 0));
         }
+        List<Write> newSlices = newQueueSlices(batch).entrySet().stream()
+                .map(slice -> new Write(slice.getKey(), Records.encode(new QueueSlice(slice.getValue())), 0))
+                .toList();
+        writes.addAll(newSlices);
         inFlight++;
         store.transact(new Txn(expected, writes, List.of())).onSuccess(result -> {
             inFlight--;
+            if (result.isRight() && result.get().applied()) {
+                long revision = result.get().revision();
+                newSlices.forEach(write -> view.onChanged(new Item(write.key(), write.value(), revision)));
+            }
             onWritten(batch, claims, result);
             flush();
         });
     }
 
+    /** Address of the queue by the key that marks a slice which has had no job of the queue. */
+    private Map<String, String> newQueueSlices(List<Pending> batch) {
+        Map<String, String> addresses = new HashMap<>();
+        for (Pending pending : batch) {
+            String address = pending.job.address();
+            String slice = pending.job.pool();
+            if (address != null && !view.slicesOfQueue(address).contains(slice)) {
+                addresses.put(StoreKeys.queueSlice(address, slice), address);
+            }
+        }
+        return addresses;
+    }
+
     private void onWritten(List<Pending> batch, Map<String, Long> claims, Either<Failure, TxnResult> result) {
         if (result.isLeft()) {
             batch.forEach(pending -> onFailed(pending, result.getLeft()));
@@ -184,15 +239,14 @@
         Map<String, Item> existing = new HashMap<>();
         result.current().stream().filter(Item::exists).forEach(item -> existing.put(item.key(), item));
         for (Pending pending : batch) {
-            Item item = existing.get(pending.key);
-            if (item != null && isOfAnotherTenant(item, pending.job)) {
-                pending.promise.complete(Either.left(
-                        Failure.rejected(ErrorCode.FORBIDDEN, "job.store", "the job belongs to another tenant")));
-            } else if (item != null) {
-                if (pending.outcomeUnknown && !isEnded(item)) {
+            Optional<Registration> registered = registrationOf(pending, existing);
+            if (registered.isPresent()) {
+                Either<Failure, PoolJob> outcome = repeated(pending.job, registered.get());
+                Item item = existing.get(pending.key);
+                if (outcome.isRight() && item != null && pending.outcomeUnknown && !isEnded(item)) {
                     onStored.accept(new JobStored(pending.job, claimOf(item)));
                 }
-                pending.promise.complete(Either.right(pending.job));
+                pending.promise.complete(outcome);
             } else if (clock.nowMs() < pending.deadlineMs) {
                 waiting.addFirst(pending);
             } else {
@@ -212,15 +266,42 @@
         return value == null ? 0 : Records.claimOfJob(job.key(), value);
     }
 
-    /** Jobs without a tenant are open to all; see {@link io.radishspindle.pool.model.Caller}. */
-    private static boolean isOfAnotherTenant(Item existing, PoolJob job) {
-        byte[] value = existing.value();
-        String tenant = job.tenant();
-        return value != null
-                && tenant != null
-                && Records.tenantOfJob(existing.key(), value)
-                        .filter(other -> !other.equals(tenant))
-                        .isPresent();
+    /** Who has the id of a submission: its registration, or else what a job of an earlier release tells. */
+    private Optional<Registration> registrationOf(Pending pending, Map<String, Item> existing) {
+        Optional<Registration> registered =
+                Optional.ofNullable(existing.get(pending.registration)).flatMap(Records::registration);
+        return registered.isPresent()
+                ? registered
+                : conditions(pending).stream()
+                        .flatMap(key -> Optional.ofNullable(existing.get(key)).stream())
+                        .findFirst()
+                        .map(item -> new Registration("", null, tenantOf(item).orElse(null)));
+    }
+
+    private static Optional<String> tenantOf(Item job) {
+        byte[] value = job.value();
+        return value == null || StoreKeys.isRegistration(job.key())
+                ? Optional.empty()
+                : Records.tenantOfJob(job.key(), value);
+    }
+
+    /**
+     * Outcome of a submission whose id is taken. Jobs without a tenant are open to all; see {@link
+     * io.radishspindle.pool.model.Caller}.
+     */
+    private static Either<Failure, PoolJob> repeated(PoolJob job, Registration registered) {
+        if (job.tenant() != null
+                && registered.tenant() != null
+                && !registered.tenant().equals(job.tenant())) {
+            return Either.left(Failure.rejected(ErrorCode.FORBIDDEN, "job.store", "the job belongs to another tenant"));
+        }
+        if (job.address() != null
+                && registered.address() != null
+                && !registered.address().equals(job.address())) {
+            return Either.left(
+                    Failure.rejected(ErrorCode.CONFLICT, "job.store", "a job of another queue has the id " + job.id()));
+        }
+        return Either.right(job);
     }
 
     private void onFailed(Pending pending, Failure failure) {
--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolNode.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolNode.java
@@ -9,6 +9,7 @@
 import io.radishspindle.pool.model.JobSummary;
 import io.radishspindle.pool.model.PoolConfig;
 import io.radishspindle.pool.model.PoolJob;
+import io.radishspindle.pool.model.QueuePolicy;
 import io.radishspindle.pool.port.AdviceService;
 import io.radishspindle.pool.port.SharedStore;
 import io.radishspindle.pool.port.SharedStore.Item;
@@ -40,6 +41,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
 
@@ -115,8 +118,8 @@
         channel = new AdviceChannel(clock, adviceService);
         advice = new AdviceDispatcher(clock, channel, messenger, self, view, this::sliceNames);
         intake = new JobIntake(
-                vertx, clock, store, view, this::notifyOwner, store::isDirectPathDown, store::retryAfterMs);
-        directory = new JobDirectory(clock, store, messenger, view, self, owned);
+                vertx, clock, store, view, slices, this::notifyOwner, store::isDirectPathDown, store::retryAfterMs);
+        directory = new JobDirectory(clock, store, new JobLocator(store, slices), messenger, view, self, owned);
         configRelay = new ConfigRelay(vertx, clock, store, messenger, view, self, this::hasFreshConfig);
         workers = new RegisteredWorkers(codec, slices, this::ownerOf);
         quotas = new QuotaKeeper(vertx, clock, store, store, this::config, this::sliceNames, this::onStoreResult);
@@ -219,28 +222,32 @@
                 .orElseGet(this::rejectUnsized);
     }
 
-    /** Phase and tenant of a job; empty if no such job exists. */
+    /**
+     * Phase and tenant of a job; empty if no such job exists.
+     *
+     * @param pool pool to which the configuration sends the queue; the job may be in another one
+     */
     public Future<Either<Failure, Optional<JobSummary>>> summary(String pool, String jobId) {
         return slices.ofJob(pool, jobId)
                 .map(slice -> directory.summary(slice, jobId))
-                .orElseGet(this::rejectUnsized);
+                .orElseGet(() -> directory.summary(jobId));
     }
 
     /** Cancels a job if the caller may access it. */
-    public Future<Either<Failure, CancelOutcome>> cancel(String pool, String jobId, Caller caller) {
-        return slices.ofJob(pool, jobId)
-                .map(slice -> directory.cancel(slice, jobId, caller))
-                .orElseGet(this::rejectUnsized);
+    public Future<Either<Failure, CancelOutcome>> cancel(String jobId, Caller caller) {
+        return directory.cancel(jobId, caller);
     }
 
-    /** Number of jobs of a queue without a started task. */
-    public Future<Either<Failure, Integer>> pending(String pool, String queue) {
-        List<String> names = slices.of(pool);
+    /** Number of jobs of a queue without a started task, in all pools to which the queue has been sent. */
+    public Future<Either<Failure, Integer>> pending(QueuePolicy queue) {
+        Set<String> names = new TreeSet<>(slices.of(queue.pool()));
         if (names.isEmpty()) {
             return rejectUnsized();
         }
-        List<Future<Either<Failure, Integer>>> counts =
-                names.stream().map(slice -> directory.pending(slice, queue)).toList();
+        names.addAll(view.slicesOfQueue(queue.address()));
+        List<Future<Either<Failure, Integer>>> counts = names.stream()
+                .map(slice -> directory.pending(slice, queue.name(), queue.address()))
+                .toList();
         return Future.join(counts).map(all -> Either.sequenceRight(all.<Either<Failure, Integer>>list())
                 .map(found -> found.sum().intValue()));
     }
@@ -330,7 +337,7 @@
         messenger.handle(
                 QueryPending.class,
                 (vm, message) -> answer(ownerOf(message.pool())
-                        .flatMap(owner -> owner.pending(message.queue()))
+                        .flatMap(owner -> owner.pending(message.queue(), message.address()))
                         .map(pending -> new PendingJobs(pending.count(), pending.ageMs(clock.nowMs())))
                         .orElseGet(() -> new PendingJobs(-1, 0))));
         messenger.handle(QueryConfig.class, (vm, message) -> configRelay.serve(message));
--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
@@ -46,7 +46,7 @@
     private static final long INTAKE_WATCH_PAUSE_MS = 200;
 
     private static final int MILLI_CORES_PER_CORE = 1_000;
-    private static final int REMOVAL_INTERVAL_TICKS = 40;
+    private static final int REMOVAL_INTERVAL_TICKS = 20;
     /** Every two seconds; an owner without unfinished jobs logs no load, which keeps its log small. */
     private static final int LOAD_LOG_INTERVAL_TICKS = 40;
 
@@ -64,6 +64,7 @@
     private final StoredRoster roster;
     private final PoolScheduler scheduler;
     private final EndedJobRemoval removal;
+    private final JobRegistrar registrar;
     private final WorkerSessions sessions;
     private final ProgressWriter writer;
     private final PrefixWatch intake;
@@ -114,6 +115,7 @@
         roster = new StoredRoster(clock, store, pool, fencingToken, new RosterListener());
         scheduler = new PoolScheduler(new PoolOptions(quota.limits(), runTimes, quotas::weight, roster));
         removal = new EndedJobRemoval(clock, store, pool, fencingToken, scheduler);
+        registrar = new JobRegistrar(vertx, store, pool, fencingToken);
         loading = new PortionedTasks(vertx, clock);
         sessions = new WorkerSessions(vertx, clock, control, scheduler, fencingToken, log, new SessionListener());
         writer = new ProgressWriter(vertx, clock, store, pool, fencingToken, scheduler, new ProgressListener());
@@ -139,6 +141,7 @@
     void close() {
         closed = true;
         loading.clear();
+        registrar.close();
         sessions.close();
         passes.close();
         writer.close();
@@ -362,6 +365,14 @@
         if (closed || !loaded) {
             return;
         }
+        if (job.hasRegisteredId()) {
+            onJobRegistered(job, claim);
+        } else if (!scheduler.isKnown(job.id())) {
+            registrar.register(job, () -> onJobRegistered(job, claim));
+        }
+    }
+
+    private void onJobRegistered(PoolJob job, long claim) {
         boolean added = claim == fencingToken
                 ? scheduler.submit(job)
                 : scheduler.submitInherited(job, clock.nowMs(), clock.wallMs());
@@ -371,6 +382,7 @@
     }
 
     void onCancelStored(String jobId) {
+        registrar.drop(jobId);
         if (loaded && scheduler.cancel(jobId, clock.wallMs())) {
             requestPass();
         }
@@ -406,11 +418,11 @@
      * Number of jobs of a queue without a started task, as of the last time that this owner knew all accepted jobs;
      * empty while it loads, and once that was too long ago because the store is unavailable or this VM was paused.
      */
-    Optional<PendingCount> pending(String queue) {
+    Optional<PendingCount> pending(String queue, @Nullable String address) {
         if (!loaded) {
             return Optional.empty();
         }
-        return Optional.of(new PendingCount(scheduler.pending(queue), intake.lastSuccessMs()))
+        return Optional.of(new PendingCount(scheduler.pending(queue, address), intake.lastSuccessMs()))
                 .filter(pending -> pending.isCurrent(clock.nowMs()));
     }
 
--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolSlices.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolSlices.java
@@ -47,7 +47,12 @@
         return pools.stream().flatMap(pool -> of(pool).stream()).toList();
     }
 
-    /** Slice of a job; empty while the number of slices is unknown. */
+    /** Slices of all known pools, also of those that the configuration no longer has. */
+    List<String> all() {
+        return of(List.copyOf(view.sizedPools()));
+    }
+
+    /** Slice for a new job of a pool; empty while the number of slices is unknown. */
     Optional<String> ofJob(String pool, String jobId) {
         return slice(pool, jobId);
     }
--- a/library/src/main/java/io/radishspindle/pool/runtime/Records.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/Records.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.radishspindle.pool.model.JobPhase;
 import io.radishspindle.pool.model.PoolJob;
+import io.radishspindle.pool.port.SharedStore.Item;
 import io.vavr.control.Try;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -52,6 +53,22 @@
     /** Number of slices of a pool. */
     record Slices(int count) {}
 
+    /**
+     * Registers the id of a job, which may be submitted only once in all pools.
+     *
+     * @param slice slice of the pool that holds the job
+     * @param address address of the queue through which the job was submitted; null if an earlier release stored it
+     * @param tenant null if the job has none
+     */
+    record Registration(String slice, @Nullable String address, @Nullable String tenant) {
+        static Registration of(PoolJob job) {
+            return new Registration(job.pool(), job.address(), job.tenant());
+        }
+    }
+
+    /** Marks a slice as one that has got jobs of a queue. */
+    record QueueSlice(String address) {}
+
     /** A worker that has answered an owner of its pool. */
     record Worker(
             String host,
@@ -103,6 +120,14 @@
                 : decode(key, value, JobTenant.class).toJavaOptional().map(JobTenant::tenant);
     }
 
+    /** Decodes a registration; empty if the item has no value or can't be decoded, which is logged. */
+    static Optional<Registration> registration(Item item) {
+        byte[] value = item.value();
+        return value == null
+                ? Optional.empty()
+                : decode(item.key(), value, Registration.class).toJavaOptional();
+    }
+
     private static <T> T requireValue(@Nullable T value) throws IOException {
         if (value == null) {
             throw new IOException("the value is nil");
--- a/library/src/main/java/io/radishspindle/pool/runtime/StoreKeys.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/StoreKeys.java
@@ -1,5 +1,8 @@
 package io.radishspindle.pool.runtime;
 
+import com.dynatrace.hash4j.hashing.Hashing;
+import java.util.HexFormat;
+
 /** Layout of the keys that the entry VMs keep in the shared store. Stateless; thread-safe. */
 final class StoreKeys {
     private static final String ROOT = "radishspindle/";
@@ -11,9 +14,13 @@
     /** Key of the shares of all slices in the quotas of all tenants. */
     static final String QUOTA_SHARES = QUOTA + "shares";
 
+    private static final String REGISTRATIONS = ROOT + "jobs/";
     private static final String MEMBERS = CONTROL + "members/";
     private static final String OWNERS = CONTROL + "owners/";
     private static final String SLICES = CONTROL + "slices/";
+    private static final String QUEUES = CONTROL + "queues/";
+    /** Hexadecimal digits of the hash of a queue's address. */
+    private static final int QUEUE_HASH_DIGITS = 16;
 
     private StoreKeys() {}
 
@@ -54,6 +61,37 @@
         return key.substring(SLICES.length());
     }
 
+    /** Key that marks a slice as one that has got jobs of the queue with an address; written once. */
+    static String queueSlice(String address, String slice) {
+        return QUEUES + queueHash(address) + "/" + slice;
+    }
+
+    /** Hash of a queue's address, which may be longer than a key. */
+    static String queueHash(String address) {
+        return HexFormat.of().toHexDigits(Hashing.wyhashFinal4().hashCharsToLong(address));
+    }
+
+    static boolean isQueueSlice(String key) {
+        return key.startsWith(QUEUES);
+    }
+
+    static String queueHashOf(String key) {
+        return key.substring(QUEUES.length(), QUEUES.length() + QUEUE_HASH_DIGITS);
+    }
+
+    static String sliceOfQueue(String key) {
+        return key.substring(QUEUES.length() + QUEUE_HASH_DIGITS + 1);
+    }
+
+    /** Key that registers the id of a job; it does not depend on the configuration. */
+    static String registration(String jobId) {
+        return REGISTRATIONS + jobId;
+    }
+
+    static boolean isRegistration(String key) {
+        return key.startsWith(REGISTRATIONS);
+    }
+
     /** Prefix of the jobs and cancellations of a pool, which its owner watches. */
     static String intake(String pool) {
         return ROOT + "intake/" + pool + "/";
--- a/library/src/main/java/io/radishspindle/protocol/message/PoolMessages.java
+++ b/library/src/main/java/io/radishspindle/protocol/message/PoolMessages.java
@@ -32,8 +32,12 @@
      */
     public record PoolJobState(String phase, @Nullable String tenant) implements PeerMessage {}
 
-    /** Queries the owner for the number of jobs of a queue without a started task; the reply is {@link PendingJobs}. */
-    public record QueryPending(String pool, String queue) implements PeerMessage {}
+    /**
+     * Queries the owner for the number of jobs of a queue without a started task; the reply is {@link PendingJobs}.
+     *
+     * @param address address of the queue; null if the sender is of an earlier release
+     */
+    public record QueryPending(String pool, String queue, @Nullable String address) implements PeerMessage {}
 
     /**
      * Number of jobs without a started task.
--- a/library/src/test/java/io/radishspindle/pool/core/SimJobs.java
+++ b/library/src/test/java/io/radishspindle/pool/core/SimJobs.java
@@ -109,7 +109,8 @@
                 2,
                 400,
                 null,
-                null);
+                null,
+                "h/q" + priority);
     }
 
     static PoolJob ofTenant(@Nullable String tenant, PoolJob job) {
@@ -128,7 +129,8 @@
                 job.slowdownFactor(),
                 job.objectiveMs(),
                 job.advice(),
-                tenant);
+                tenant,
+                job.address());
     }
 
     static PoolJob advised(String id, int priority, long acceptedMs, AdvicePolicy advice, StepSpec... steps) {
@@ -147,6 +149,7 @@
                 2,
                 400,
                 advice,
-                null);
+                null,
+                "h/q" + priority);
     }
 }
--- a/library/src/test/java/io/radishspindle/pool/runtime/JobDirectoryTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/JobDirectoryTest.java
@@ -8,6 +8,7 @@
 import io.radishspindle.pool.model.JobSummary;
 import io.radishspindle.pool.port.SharedStore.Item;
 import io.radishspindle.pool.runtime.FakeSharedStore.Fault;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.BeforeEach;
@@ -19,16 +20,19 @@
     private static final String KEY = StoreKeys.job(POOL, "j");
 
     private final FakeSharedStore store = new FakeSharedStore();
+    private final ControlView view = new ControlView(new ManualClock());
     private final JobDirectory directory = new JobDirectory(
             new ManualClock(),
             store,
+            new JobLocator(store, new PoolSlices(view)),
             new FakeMessenger(),
-            new ControlView(new ManualClock()),
+            view,
             new NodeIdentity("a", "1", "127.0.0.1", 1, "dc", "region", 1),
             Map.of());
 
     @BeforeEach
     void storeJob() {
+        view.onChanged(new Item(StoreKeys.slices(POOL), Records.encode(new Records.Slices(1)), 2));
         store.items.put(KEY, new Item(KEY, new byte[] {(byte) 0x8e}, 3));
     }
 
@@ -36,7 +40,7 @@
     void should_replace_the_item_of_a_cancelled_job() {
         // when
         CancelOutcome cancelled =
-                directory.cancel(POOL, "j", Caller.UNRESTRICTED).await().get();
+                directory.cancel("j", Caller.UNRESTRICTED).await().get();
 
         // then
         assertThat(cancelled).isEqualTo(CancelOutcome.STORED);
@@ -52,7 +56,7 @@
 
         // when
         CancelOutcome cancelled =
-                directory.cancel(POOL, "j", Caller.UNRESTRICTED).await().get();
+                directory.cancel("j", Caller.UNRESTRICTED).await().get();
 
         // then
         assertThat(cancelled).isEqualTo(CancelOutcome.STORED);
@@ -70,7 +74,7 @@
         storeJobOf("studio");
 
         // when
-        directory.cancel(POOL, "j", Caller.UNRESTRICTED).await();
+        directory.cancel("j", Caller.UNRESTRICTED).await();
 
         // then
         assertThat(Records.tenantOfJob(KEY, store.items.get(KEY).value())).contains("studio");
@@ -84,8 +88,7 @@
         storeJobOf("studio");
 
         // when
-        var outcome =
-                directory.cancel(POOL, "j", new Caller("desk", true)).await().get();
+        var outcome = directory.cancel("j", new Caller("desk", true)).await().get();
 
         // then
         assertThat(outcome).isEqualTo(CancelOutcome.FORBIDDEN);
@@ -96,20 +99,39 @@
     @Test
     void should_not_report_a_cancellation_as_durable_when_its_answer_is_lost() {
         // given
-        store.firstFaults.add(Fault.NONE);
-        store.firstFaults.add(Fault.LOSE_CALL);
+        store.firstFaults.addAll(List.of(Fault.NONE, Fault.NONE, Fault.NONE, Fault.LOSE_CALL));
 
         // when
-        var result = directory.cancel(POOL, "j", Caller.UNRESTRICTED).await();
+        var result = directory.cancel("j", Caller.UNRESTRICTED).await();
 
         // then
         assertThat(result.getLeft().notRun()).isFalse();
     }
 
+    /** Guards against a job that is forgotten once its queue is sent to another pool. */
+    @Test
+    void should_find_a_job_in_the_slice_that_its_registration_names() {
+        // given
+        String key = StoreKeys.job("hall", "moved");
+        store.items.put(key, new Item(key, Records.encode(PoolOwnerFixture.job("moved")), 3));
+        String registration = StoreKeys.registration("moved");
+        byte[] slice = Records.encode(new Records.Registration("hall", "h/q/", null));
+        store.items.put(registration, new Item(registration, slice, 3));
+
+        // when
+        var before = directory.summary(POOL, "moved").await().get();
+        var cancelled = directory.cancel("moved", Caller.UNRESTRICTED).await().get();
+
+        // then
+        assertThat(before).map(JobSummary::phase).contains(JobPhase.QUEUED);
+        assertThat(cancelled).isEqualTo(CancelOutcome.STORED);
+        assertThat(directory.summary("moved").await().get().map(JobSummary::phase))
+                .contains(JobPhase.CANCELLED);
+    }
+
     @Test
     void should_find_no_job_that_was_never_stored() {
-        assertThat(directory.cancel(POOL, "other", Caller.UNRESTRICTED).await().get())
-                .isEqualTo(CancelOutcome.UNKNOWN_JOB);
+        assertThat(directory.cancel("other", Caller.UNRESTRICTED).await().get()).isEqualTo(CancelOutcome.UNKNOWN_JOB);
         assertThat(directory.summary(POOL, "other").await().get()).isEqualTo(Optional.empty());
     }
 }
--- a/library/src/test/java/io/radishspindle/pool/runtime/JobIntakeTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/JobIntakeTest.java
@@ -19,6 +19,7 @@
 import io.vertx.core.Vertx;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -48,7 +49,8 @@
     void createIntake() {
         vertx = Vertx.vertx();
         context = vertx.getOrCreateContext();
-        intake = new JobIntake(vertx, clock, store, view, stored::add, () -> storeUnavailable, () -> 2_000);
+        intake = new JobIntake(
+                vertx, clock, store, view, new PoolSlices(view), stored::add, () -> storeUnavailable, () -> 2_000);
     }
 
     @AfterEach
@@ -82,17 +84,27 @@
     private static PoolJob job(String id, @Nullable String tenant) {
         StepSpec step = new StepSpec(
                 1, new Resources(1, 1, 0), 1, List.of(), false, false, false, "", "", 0, false, false, "", 0, false, 0);
-        return new PoolJob(id, "q", "pool", "p", List.of(step), 1, 0, 0, 1, 0, 1, 1, 1, null, tenant);
+        return new PoolJob(id, "q", "pool", "p", List.of(step), 1, 0, 0, 1, 0, 1, 1, 1, null, tenant, "h/q/");
+    }
+
+    /** The jobs of all pools, without the registrations of their ids. */
+    private List<Item> storedJobs() {
+        return store.items.values().stream()
+                .filter(item -> item.key().contains("/intake/"))
+                .toList();
     }
 
     @Test
     void should_store_many_jobs_in_few_calls() throws TimeoutException {
+        // given a limit of entries that allows seven jobs, each with two conditions and two writes, and their claim
+        int leastCalls = 5;
+
         // when
         submitAll(IntStream.range(0, 30).mapToObj(i -> job("j" + i)).toList()).await(10, TimeUnit.SECONDS);
 
         // then
-        assertThat(store.items).hasSize(30);
-        assertThat(store.calls).isLessThan(5);
+        assertThat(storedJobs()).hasSize(30);
+        assertThat(store.calls).isEqualTo(leastCalls);
         assertThat(stored).hasSize(30);
     }
 
@@ -100,14 +112,14 @@
     void should_accept_a_repeated_id_as_the_same_job() throws TimeoutException {
         // given
         submit("j");
-        long revision = store.items.values().iterator().next().revision();
+        long revision = storedJobs().get(0).revision();
 
         // when
         Either<Failure, PoolJob> again = submit("j");
 
         // then
         assertThat(again.isRight()).isTrue();
-        assertThat(store.items.values()).singleElement().satisfies(item -> assertThat(item.revision())
+        assertThat(storedJobs()).singleElement().satisfies(item -> assertThat(item.revision())
                 .isEqualTo(revision));
     }
 
@@ -118,7 +130,7 @@
             @Nullable String first, @Nullable String second, boolean accepted) throws TimeoutException {
         // given
         submitAll(List.of(job("j", first))).await(10, TimeUnit.SECONDS);
-        long revision = store.items.values().iterator().next().revision();
+        long revision = storedJobs().get(0).revision();
 
         // when
         var again =
@@ -128,7 +140,7 @@
         assertThat(again.isRight()).isEqualTo(accepted);
         assertThat(again.swap().map(failure -> failure.code() == ErrorCode.FORBIDDEN && failure.notRun()))
                 .allMatch(forbidden -> forbidden);
-        assertThat(store.items.values()).singleElement().satisfies(item -> assertThat(item.revision())
+        assertThat(storedJobs()).singleElement().satisfies(item -> assertThat(item.revision())
                 .isEqualTo(revision));
     }
 
@@ -143,7 +155,7 @@
 
         // then
         assertThat(results).allMatch(Either::isRight);
-        assertThat(store.items).hasSize(2);
+        assertThat(storedJobs()).hasSize(2);
     }
 
     @Test
@@ -201,6 +213,56 @@
         assertThat(store.calls).isEqualTo(1);
     }
 
+    /** Guards against two jobs with one id, when two VMs with unlike configurations take it at once. */
+    @ParameterizedTest
+    @CsvSource({"pool, pool, true", "pool, other, true", "other, pool, true"})
+    void should_store_one_job_for_an_id_that_is_submitted_for_two_pools(String first, String second, boolean accepted)
+            throws TimeoutException {
+        // given
+        JobIntake otherVm = new JobIntake(
+                vertx,
+                clock,
+                store,
+                new ControlView(clock),
+                new PoolSlices(new ControlView(clock)),
+                stored::add,
+                () -> false,
+                () -> 2_000);
+        Promise<Either<Failure, PoolJob>> repeated = Promise.promise();
+        context.runOnContext(ignored -> otherVm.submit(job("j").inPool(second), clock.nowMs() + deadlineAfterMs)
+                .onComplete(repeated));
+
+        // when
+        var results = submitAll(List.of(job("j").inPool(first))).await(10, TimeUnit.SECONDS);
+
+        // then
+        assertThat(results.get(0).isRight()).isEqualTo(accepted);
+        assertThat(repeated.future().await(10, TimeUnit.SECONDS).isRight()).isEqualTo(accepted);
+        assertThat(storedJobs()).hasSize(1);
+        assertThat(stored).hasSize(1);
+    }
+
+    /** Guards against a second job beside one of an earlier release, which registers no ids. */
+    @ParameterizedTest
+    @CsvSource({"pool, studio, true", "moved, studio, true", "moved, desk, false"})
+    void should_find_an_unregistered_job_in_another_pool(String pool, String tenant, boolean accepted)
+            throws TimeoutException {
+        // given
+        String slices = StoreKeys.slices("pool");
+        view.onChanged(new Item(slices, Records.encode(new Records.Slices(1)), 3));
+        String key = StoreKeys.job("pool", "j");
+        store.items.put(key, new Item(key, Records.encode(Map.of("id", "j", "tenant", "studio")), 4));
+
+        // when
+        var result = submitAll(List.of(job("j", tenant).inPool(pool)))
+                .await(10, TimeUnit.SECONDS)
+                .get(0);
+
+        // then
+        assertThat(result.isRight()).isEqualTo(accepted);
+        assertThat(storedJobs()).extracting(Item::revision).containsExactly(4L);
+    }
+
     private void claim(long revision) {
         String key = StoreKeys.owner("pool");
         store.items.put(key, new Item(key, Records.encode(new Records.Owner("vm", "1")), revision));
--- a/library/src/test/java/io/radishspindle/pool/runtime/LapsedRegistrationsTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/LapsedRegistrationsTest.java
@@ -34,7 +34,7 @@
             pool.owner.start(entries);
             return true;
         });
-        pool.awaitOnLoop(() -> pool.owner.pending("q").isPresent());
+        pool.awaitOnLoop(() -> pool.owner.pending("q", "h/q/").isPresent());
         pool.onLoop(() -> {
             for (int i = 0; i < WORKERS; i++) {
                 pool.submit("job" + i);
@@ -61,7 +61,7 @@
 
         // when
         takeOver(PoolOwnerFixture.entries("w", returned, WORKERS));
-        pool.awaitOnLoop(() -> pool.owner.pending("q").isPresent());
+        pool.awaitOnLoop(() -> pool.owner.pending("q", "h/q/").isPresent());
         TimeUnit.MILLISECONDS.sleep(600);
 
         // then
@@ -74,7 +74,7 @@
         // given
         startJobsUnderFirstOwner(PoolOwnerFixture.entries("w", WORKERS, 1));
         takeOver(PoolOwnerFixture.entries("w", 2, WORKERS));
-        pool.awaitOnLoop(() -> pool.owner.pending("q").isPresent());
+        pool.awaitOnLoop(() -> pool.owner.pending("q", "h/q/").isPresent());
 
         // when
         pool.onLoop(() -> {
@@ -97,7 +97,7 @@
         // when the first owner, and then the next one, read them
         startJobsUnderFirstOwner(entries);
         takeOver(entries);
-        pool.awaitOnLoop(() -> pool.owner.pending("q").isPresent());
+        pool.awaitOnLoop(() -> pool.owner.pending("q", "h/q/").isPresent());
         pool.onLoop(() -> {
             pool.submit("new");
             return true;
--- a/library/src/test/java/io/radishspindle/pool/runtime/PendingCountTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/PendingCountTest.java
@@ -31,9 +31,11 @@
     private final ManualClock clock = new ManualClock();
     private final FakeMessenger messenger = new FakeMessenger();
     private final ControlView view = new ControlView(clock);
+    private final FakeSharedStore store = new FakeSharedStore();
     private final JobDirectory directory = new JobDirectory(
             clock,
-            new FakeSharedStore(),
+            store,
+            new JobLocator(store, new PoolSlices(view)),
             messenger,
             view,
             new NodeIdentity("a", "1", "127.0.0.1", 1, "dc", "region", 1),
@@ -57,7 +59,7 @@
     }
 
     private Either<Failure, Integer> pending() {
-        return directory.pending(POOL, "q").await();
+        return directory.pending(POOL, "q", "h/q/").await();
     }
 
     private static void assertRefused(Either<Failure, Integer> answer) {
@@ -110,7 +112,7 @@
         messenger.peers.put("b", ignored -> reply.future());
 
         // when
-        Future<Either<Failure, Integer>> answer = directory.pending(POOL, "q");
+        Future<Either<Failure, Integer>> answer = directory.pending(POOL, "q", "h/q/");
         clock.nowMs += 400;
         reply.complete(Either.right(new PendingJobs(3, 1_700)));
 
--- a/library/src/test/java/io/radishspindle/pool/runtime/PoolOwnerFixture.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/PoolOwnerFixture.java
@@ -148,7 +148,7 @@
                 0,
                 false,
                 0);
-        return new PoolJob(id, "q", POOL, "p", List.of(step), 1, 0, 0, 1, 0, 1, 1, 1, null, null);
+        return new PoolJob(id, "q", POOL, "p", List.of(step), 1, 0, 0, 1, 0, 1, 1, 1, null, null, "h/q/");
     }
 
     void submit(String id) {
--- a/library/src/test/java/io/radishspindle/pool/runtime/PortionedLoadTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/PortionedLoadTest.java
@@ -143,7 +143,7 @@
     private static PoolJob job(String id) {
         StepSpec step = new StepSpec(
                 1, new Resources(1, 1, 0), 1, List.of(), false, false, false, "", "", 0, false, false, "", 0, false, 0);
-        return new PoolJob(id, "q", POOL, "p", List.of(step), 1, 0, 0, 1, 0, 1, 1, 1, null, null);
+        return new PoolJob(id, "q", POOL, "p", List.of(step), 1, 0, 0, 1, 0, 1, 1, 1, null, null, "h/q/");
     }
 
     private void store(String key, byte[] value, long revision) {
--- a/library/src/test/java/io/radishspindle/pool/runtime/ProgressWriterTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/ProgressWriterTest.java
@@ -66,7 +66,7 @@
     private static PoolJob job(String id, @Nullable String tenant) {
         StepSpec step = new StepSpec(
                 1, new Resources(1, 1, 0), 1, List.of(), false, false, false, "", "", 0, false, false, "", 0, false, 0);
-        return new PoolJob(id, "q", POOL, "p", List.of(step), 1, 0, 0, 1, 0, 1, 1, 1, null, tenant);
+        return new PoolJob(id, "q", POOL, "p", List.of(step), 1, 0, 0, 1, 0, 1, 1, 1, null, tenant, "h/q/");
     }
 
     @AfterEach
--- a/library/src/test/java/io/radishspindle/pool/runtime/QuotaKeeperTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/QuotaKeeperTest.java
@@ -83,7 +83,8 @@
                     0,
                     false,
                     0);
-            scheduler.submit(new PoolJob("j" + cores, "q", "p", "", List.of(step), 1, 0, 0, 1, 0, 1, 1, 1, null, "t"));
+            scheduler.submit(
+                    new PoolJob("j" + cores, "q", "p", "", List.of(step), 1, 0, 0, 1, 0, 1, 1, 1, null, "t", "h/q/"));
         }
 
         void run(long durationMs) {
--- a/library/src/test/java/io/radishspindle/pool/runtime/StaleOwnerTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/StaleOwnerTest.java
@@ -18,7 +18,7 @@
             pool.owner.start(PoolOwnerFixture.entries("w", 3, 1));
             return true;
         });
-        pool.awaitOnLoop(() -> pool.owner.pending("q").isPresent());
+        pool.awaitOnLoop(() -> pool.owner.pending("q", "h/q/").isPresent());
         pool.onLoop(() -> {
             pool.submit("job");
             return true;
@@ -35,10 +35,10 @@
     @Test
     void should_give_no_number_of_pending_jobs_once_the_store_is_silent_for_2_s() throws Exception {
         // given that the watch of the jobs gets no answer in this test
-        assertThat(pool.onLoop(() -> pool.owner.pending("q"))).isPresent();
+        assertThat(pool.onLoop(() -> pool.owner.pending("q", "h/q/"))).isPresent();
 
         // then
-        pool.awaitOnLoop(() -> pool.owner.pending("q").isEmpty());
+        pool.awaitOnLoop(() -> pool.owner.pending("q", "h/q/").isEmpty());
         assertThat(pool.onLoop(() -> pool.phase("job"))).contains(JobPhase.RUNNING);
     }
 
--- a/library/src/test/java/io/radishspindle/pool/runtime/StoredJobsTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/StoredJobsTest.java
@@ -32,7 +32,7 @@
     private static PoolJob job(@Nullable String tenant) {
         StepSpec step = new StepSpec(
                 1, new Resources(1, 1, 0), 1, List.of(), false, false, false, "", "", 0, false, false, "", 0, false, 0);
-        return new PoolJob("j", "q", POOL, "p", List.of(step), 1, 0, 0, 1, 0, 1, 1, 1, null, tenant);
+        return new PoolJob("j", "q", POOL, "p", List.of(step), 1, 0, 0, 1, 0, 1, 1, 1, null, tenant, "h/q/");
     }
 
     private void storeJob(Object value) {
