Elect an owner for every pool that has slices, whether or not the configuration names it

Callers saw: after a version of the configuration had dropped a service and the VMs had returned, an accepted job of its pool stayed queued for ever, though workers of the pool were registered.

The pools for which VMs elect an owner were the services of the configuration in force, so that a pool lost its owner at the next change of VMs.

Change: the slices that need an owner are those of all pools that were ever given slices.

--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolNode.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolNode.java
@@ -162,9 +162,9 @@
                 .toList();
     }
 
+    /** Slices that need an owner: of all pools that may hold jobs, whether or not the configuration still has them. */
     private List<String> sliceNames() {
-        PoolConfig current = config;
-        return current == null ? List.of() : slices.of(current.pools());
+        return config == null ? List.of() : slices.all();
     }
 
     private void onStoreResult(boolean answered) {
