Treat an id that another queue of the same pool has as the same job, as before

The registration of ids refused a submission with 409 if a job of any other queue had the id. Only an id of another queue in another pool, which was a second job before, is refused.

Measured: MovedQueueTest, EndToEndJobTest, ApiKeyCallsTest, RevokedKeysTest and the tests of pool.runtime named Job* pass.

--- a/library/src/main/java/io/radishspindle/pool/runtime/JobIntake.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/JobIntake.java
@@ -37,7 +37,7 @@
  * <p>Invariants: a submission succeeds only after its job is stored; it fails as not run only if no write of it can
  * still take effect; a job is stored together with the registration of its id, which is conditional on the absence of
  * one, so that an id has one job whichever pool the configuration of a VM names; submissions with the same id are the
- * same job, unless they are of two tenants or queues, when the later one fails; a job is stored only while the claim
+ * same job, unless they are of two tenants, or of queues in two pools, when the later one fails; a job is stored only while the claim
  * that its item names is in force, so that no earlier owner of the pool learns of it, and every later owner reads it
  * after its claim.
  */
@@ -295,15 +295,21 @@
                 && !registered.tenant().equals(job.tenant())) {
             return Either.left(Failure.rejected(ErrorCode.FORBIDDEN, "job.store", "the job belongs to another tenant"));
         }
-        if (job.address() != null
-                && registered.address() != null
-                && !registered.address().equals(job.address())) {
+        if (isOfAnotherQueue(job, registered)) {
             return Either.left(
                     Failure.rejected(ErrorCode.CONFLICT, "job.store", "a job of another queue has the id " + job.id()));
         }
         return Either.right(job);
     }
 
+    /** The queues of one pool share their ids; a queue that has moved keeps its address. */
+    private static boolean isOfAnotherQueue(PoolJob job, Registration registered) {
+        return job.address() != null
+                && registered.address() != null
+                && !registered.address().equals(job.address())
+                && !registered.slice().equals(job.pool());
+    }
+
     private void onFailed(Pending pending, Failure failure) {
         pending.outcomeUnknown |= !failure.notRun();
         if (!pending.outcomeUnknown) {
