Renew tickets for workers on which a task fits before those with the most free cores

Cause: a step that waits renews tickets for the approved workers with the most free cores, three for one task. Memory and what the task needs didn't count, and a valid ticket for a worker without room counted as much as one for a worker with room. Where the memory of the workers with the most free cores is full, the same three were renewed for ever, no other worker ever got a ticket, and no task was preempted either, since room without a ticket comes before stops.

Change: workers on which a task fits come first, and valid tickets on other workers don't count while the task fits on a worker without one. The same order holds for the first call.

Measured: LastingTaskBesideRoomTest (simulation) fails before, with no start within 3 s, and passes; RoomBesideGangsTest and LoadPatternsTest pass.

--- a/library/src/main/java/io/radishspindle/pool/core/AdvicePlanner.java
+++ b/library/src/main/java/io/radishspindle/pool/core/AdvicePlanner.java
@@ -12,6 +12,9 @@
 /**
  * Plans the next call to the advice service for a step. The set of approved workers never changes, but tickets
  * expire: for a step that waits for capacity, tickets are renewed for approved workers only. Stateless; thread-safe.
+ *
+ * <p>Invariant: while a task fits on an approved worker without a ticket and on too few with one, the next renewal
+ * includes that worker, however many cores are free on workers on which the task doesn't fit.
  */
 final class AdvicePlanner {
     /** Tickets are renewed for this many workers per waiting task, so that calls stay short. */
@@ -30,15 +33,14 @@
         }
         List<WorkerRoom> untried = notYetQueried(step, placer);
         long untilMs = nowMs + PoolTiming.FORECAST_HORIZON_MS;
-        boolean untriedHasRoom =
-                untried.stream().anyMatch(room -> step.spec.reserved().fitsIn(room.freeAt(untilMs)));
+        boolean untriedHasRoom = untried.stream().anyMatch(room -> fits(step, room, untilMs));
         List<String> candidates = List.of();
         // Tickets of approved workers are renewed before workers without room are tried.
         if (!untriedHasRoom) {
             candidates = withExpiringTickets(step, placer, nowMs, nowMs + policy.callMs(MIN_CANDIDATES));
         }
         if (candidates.isEmpty()) {
-            candidates = freest(untried, firstCallWorkers(step, approvals), untilMs);
+            candidates = best(step, untried, firstCallWorkers(step, approvals), untilMs);
         }
         if (candidates.isEmpty()) {
             return Optional.empty();
@@ -64,15 +66,20 @@
         return found;
     }
 
-    /** The workers with the most free capacity; later calls cover the others. */
-    private static List<String> freest(List<WorkerRoom> rooms, long limit, long untilMs) {
+    /** The workers on which a task fits, then those with the most free capacity; later calls cover the others. */
+    private static List<String> best(StepState step, List<WorkerRoom> rooms, long limit, long untilMs) {
         return rooms.stream()
-                .sorted(Comparator.comparingLong((WorkerRoom room) -> -freeCapacityScore(room, untilMs)))
+                .sorted(Comparator.comparing((WorkerRoom room) -> !fits(step, room, untilMs))
+                        .thenComparingLong(room -> -freeCapacityScore(room, untilMs)))
                 .limit(limit)
                 .map(room -> room.worker.id())
                 .toList();
     }
 
+    private static boolean fits(StepState step, WorkerRoom room, long untilMs) {
+        return step.spec.reserved().fitsIn(room.freeAt(untilMs));
+    }
+
     /** Free capacity as a single number for sorting: an accelerator counts as one core. */
     private static long freeCapacityScore(WorkerRoom room, long untilMs) {
         Resources free = room.freeAt(untilMs);
@@ -80,8 +87,9 @@
     }
 
     private static List<String> withExpiringTickets(StepState step, Placer placer, long nowMs, long untilMs) {
+        long roomUntilMs = nowMs + PoolTiming.FORECAST_HORIZON_MS;
         List<WorkerRoom> approved = new ArrayList<>();
-        int fresh = 0;
+        List<WorkerRoom> fresh = new ArrayList<>();
         for (WorkerRoom room : placer.rooms()) {
             WorkerState worker = room.worker;
             Ticket ticket = step.tickets.get(worker.id());
@@ -90,13 +98,18 @@
                 continue;
             }
             if (ticket.validUntilMs() > untilMs && ticket.bootWallMs() == worker.bootWallMs) {
-                fresh++;
+                fresh.add(room);
             } else {
                 approved.add(room);
             }
         }
-        long needed = Math.max(MIN_CANDIDATES, CANDIDATES_PER_TASK * step.waitingTasks()) - fresh;
+        // A ticket for a worker without room doesn't replace one for a worker with room.
+        boolean fitsWithoutTicket = approved.stream().anyMatch(room -> fits(step, room, roomUntilMs));
+        long usable = fresh.stream()
+                .filter(room -> !fitsWithoutTicket || fits(step, room, roomUntilMs))
+                .count();
+        long needed = Math.max(MIN_CANDIDATES, CANDIDATES_PER_TASK * step.waitingTasks()) - usable;
         long limit = Math.min(AdviceService.MAX_WORKERS, Math.max(0, needed));
-        return freest(approved, limit, nowMs + PoolTiming.FORECAST_HORIZON_MS);
+        return best(step, approved, limit, roomUntilMs);
     }
 }
--- /dev/null
+++ b/library/src/test/java/io/radishspindle/pool/core/LastingTaskBesideRoomTest.java
@@ -0,0 +1,67 @@
+package io.radishspindle.pool.core;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.radishspindle.model.Resources;
+import io.radishspindle.pool.model.AdvicePolicy;
+import io.radishspindle.pool.model.StepSpec;
+import io.radishspindle.pool.model.TaskName;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Guards against lasting tasks that wait although workers on which they may run have room for them. */
+class LastingTaskBesideRoomTest {
+    private static final AdvicePolicy ADVICE = new AdvicePolicy(560, 8, 1_500);
+    private static final int WORKERS = 8;
+    /** Longest time for which a task may wait beside room. */
+    private static final long LIMIT_MS = 3_000;
+
+    private static StepSpec lasting(int count, long milliCores, long memoryMib, String label) {
+        return new StepSpec(
+                count,
+                new Resources(milliCores, memoryMib, 0),
+                400,
+                List.of(),
+                false,
+                false,
+                false,
+                label,
+                "",
+                1,
+                false,
+                true,
+                "",
+                0,
+                false,
+                0);
+    }
+
+    /**
+     * Tickets were renewed for the workers with the most free cores only, which lacked the memory, while others had
+     * room.
+     */
+    @Test
+    void should_renew_tickets_where_a_task_fits_and_not_where_most_cores_are_free() {
+        // given workers of two racks whose memory is full, with more free cores in the first
+        PoolSimulation pool = new PoolSimulation(1);
+        pool.ticketValidityMs = ADVICE.validMs();
+        for (int i = 0; i < WORKERS; i++) {
+            pool.addWorker("w" + i, new Resources(64_000, 256_000, 0), i < WORKERS / 2 ? "first" : "second");
+        }
+        pool.runUntil(1_500);
+        pool.submit(SimJobs.job("full", 1, pool.nowMs, lasting(WORKERS / 2, 1_000, 250_000, "first")));
+        pool.submit(SimJobs.job("busy", 1, pool.nowMs, lasting(WORKERS / 2, 32_000, 1_000, "second")));
+        pool.submit(SimJobs.job("ends", 1, pool.nowMs, lasting(WORKERS / 2, 1_000, 240_000, "second")));
+        pool.runUntil(3_000);
+        pool.submit(SimJobs.advised("waits", 1, pool.nowMs, ADVICE, lasting(1, 16_000, 100_000, "")));
+        pool.runUntil(8_000);
+
+        // when
+        pool.cancel("ends");
+        pool.runUntil(pool.nowMs + LIMIT_MS);
+
+        // then
+        assertThat(pool.history.firstStartMs).containsKey(new TaskName("waits", 0, 0, 0));
+        assertThat(pool.history.violations).isEmpty();
+    }
+}
