--- a/library/src/main/java/io/radishspindle/pool/model/PoolJob.java
+++ b/library/src/main/java/io/radishspindle/pool/model/PoolJob.java
@@ -13,8 +13,8 @@
  * @param periodMs milliseconds between occurrences
  * @param acceptedWallMs Unix milliseconds of the first submission, on the clock of the accepting VM
  * @param tenant name of the tenant whose key came with the submission; null if there was none
- * @param address {@link QueuePolicy#address} of the queue; null if an earlier release stored the job, which registers no
- *     ids
+ * @param address {@link QueuePolicy#address} of the queue; null if an earlier release stored the job, which registers
+ *     no ids
  */
 public record PoolJob(
         String id,
--- a/library/src/main/java/io/radishspindle/pool/runtime/JobIntake.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/JobIntake.java
@@ -37,9 +37,9 @@
  * <p>Invariants: a submission succeeds only after its job is stored; it fails as not run only if no write of it can
  * still take effect; a job is stored together with the registration of its id, which is conditional on the absence of
  * one, so that an id has one job whichever pool the configuration of a VM names; submissions with the same id are the
- * same job, unless they are of two tenants, or of queues in two pools, when the later one fails; a job is stored only while the claim
- * that its item names is in force, so that no earlier owner of the pool learns of it, and every later owner reads it
- * after its claim.
+ * same job, unless they are of two tenants, or of queues in two pools, when the later one fails; a job is stored only
+ * while the claim that its item names is in force, so that no earlier owner of the pool learns of it, and every later
+ * owner reads it after its claim.
  */
 final class JobIntake {
     /** Writes of a transaction that a job takes: the job and its registration. */
--- a/library/src/main/java/io/radishspindle/pool/runtime/JobRegistrar.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/JobRegistrar.java
@@ -15,8 +15,8 @@
 import org.tinylog.Logger;
 
 /**
- * Registers the ids of jobs that VMs of an earlier release store in a slice while this VM owns it. Confined to one event
- * loop.
+ * Registers the ids of jobs that VMs of an earlier release store in a slice while this VM owns it. Confined to one
+ * event loop.
  *
  * <p>Invariant: such a job is handed on for scheduling only if its id is registered for this slice; if another slice
  * has the id, the job is removed.
