Log what keeps a task waiting beside room

A task that has waited for 3 s although some worker has free capacity for it is logged once in 3 s (event=task-delayed), with what keeps it from any start (no majority, recovery, an unresolved run, restart backoff, quota, trial) and, for each reason, the number of workers with room on which it can't start (held, no ticket, spread, suspended, closed for a trial, old registration, ...). At most 10 lines a second for each pool, of at most 50 steps that are looked at.

LastingMix simulates 24 workers with lasting tasks beside short, large and gang tasks, in phases with faults and without, and finds lasting tasks that wait for 3 s beside room for two of them, 4 s after the faults.

--- a/library/src/main/java/io/radishspindle/pool/core/Placer.java
+++ b/library/src/main/java/io/radishspindle/pool/core/Placer.java
@@ -143,22 +143,56 @@
 
     /** @param suspect whose trial would start on the worker; null for another start */
     private boolean mayRun(StepState step, WorkerState worker, @Nullable CrashRecord suspect) {
+        return ruleAgainst(step, worker, suspect) == Obstacle.NONE;
+    }
+
+    private Obstacle ruleAgainst(StepState step, WorkerState worker, @Nullable CrashRecord suspect) {
         if (worker.isClosedTo(suspect)) {
-            return false;
+            return Obstacle.CLOSED_FOR_TRIAL;
         }
         if (!step.spec.label().isEmpty() && !worker.entry.labels().contains(step.spec.label())) {
-            return false;
+            return Obstacle.LABEL;
+        }
+        if (!step.spec.reserved().fitsIn(worker.entry.capacity())) {
+            return Obstacle.TOO_SMALL;
         }
-        if (!step.spec.reserved().fitsIn(worker.entry.capacity()) || worker.entry.draining() || !worker.listed) {
-            return false;
+        if (worker.entry.draining() || !worker.listed) {
+            return Obstacle.DRAINING;
         }
         if (step.spec.maxPerWorker() > 0 && step.tasksOn(worker.id()) >= step.spec.maxPerWorker()) {
-            return false;
+            return Obstacle.SPREAD;
+        }
+        if (worker.health.isSuspended(nowMs)) {
+            return Obstacle.SUSPENDED;
+        }
+        if (worker.health.isOnProbation() && !worker.runs.isEmpty()) {
+            return Obstacle.PROBATION;
+        }
+        return FillGuard.mayRunOn(step, worker) ? Obstacle.NONE : Obstacle.SERVING_TASK;
+    }
+
+    /** Why a task doesn't start on a worker with free capacity for it; {@link Obstacle#NONE} if it may. */
+    Obstacle obstacleTo(TaskState task, WorkerRoom room) {
+        StepState step = task.step;
+        WorkerState worker = room.worker;
+        Obstacle unusable = worker.unusableBecause(nowMs);
+        if (unusable != Obstacle.NONE) {
+            return unusable;
+        }
+        Obstacle rule = ruleAgainst(step, worker, task.crashRecord());
+        if (rule != Obstacle.NONE) {
+            return rule;
+        }
+        if (!mayBeApproved(step, worker)) {
+            return Obstacle.NOT_APPROVED;
+        }
+        if (!room.admits(step.spec.reserved(), ends.endOfStartMs(step))) {
+            return Obstacle.HELD;
         }
-        if (worker.health.isSuspended(nowMs) || (worker.health.isOnProbation() && !worker.runs.isEmpty())) {
-            return false;
+        if (hasTicket(step, worker)) {
+            return Obstacle.NONE;
         }
-        return FillGuard.mayRunOn(step, worker);
+        return step.tickets.containsKey(worker.id()) ? Obstacle.TICKET_EXPIRED : Obstacle.NOT_QUERIED;
     }
 
     boolean hasTicket(StepState step, WorkerState worker) {
--- a/library/src/main/java/io/radishspindle/pool/core/PoolAction.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolAction.java
@@ -90,6 +90,15 @@
     /** A job ends since one of its tasks crashes the workers that start it; for the log. */
     record TaskGivenUp(TaskName task, String queue, String crashes) implements PoolAction {}
 
+    /**
+     * A task waits although workers have room for it; for the log.
+     *
+     * @param obstacle what keeps the task from any start; {@code none} if that depends on the worker
+     * @param workers number of workers with room by obstacle, as text
+     */
+    record TaskDelayed(TaskName task, String queue, long waitedMs, String obstacle, String workers)
+            implements PoolAction {}
+
     /** The state of a worker has changed; for the log. */
     record WorkerChanged(String workerId, String change, String reason) implements PoolAction {}
 }
--- a/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
@@ -53,6 +53,7 @@
     private final Quorum quorum;
     private final StartPermission permission;
     private final TenantOrder order;
+    private final DelayedTasks delayed;
     /** Answers to holds that were sent before this time don't prove that the owner still owns the pool. */
     private long trustedFromMs = Long.MIN_VALUE;
 
@@ -75,6 +76,7 @@
         recovery = new Recovery(workers, unfinished, options.limits(), options.roster());
         quorum = new Quorum(options.roster());
         permission = new StartPermission(quorum, recovery, activeRuns);
+        delayed = new DelayedTasks(permission, trials, options.limits(), actions);
     }
 
     /** Adds a stored job, which an earlier owner may have started. */
@@ -369,8 +371,8 @@
         events.stopUnwantedRuns(workers.values(), nowMs, recovery.mayLackGangMembers(nowMs));
         boolean hasQuorum = hasQuorum(nowMs);
         recovery.update(hasQuorum, nowMs, wallMs);
+        ExpectedEnds ends = new ExpectedEnds(durations, nowMs);
         if (hasQuorum) {
-            ExpectedEnds ends = new ExpectedEnds(durations, nowMs);
             SchedulingPass pass = new SchedulingPass(
                     workers.values(),
                     actions,
@@ -386,6 +388,9 @@
             List<StepState> ready = readySteps(nowMs, wallMs);
             pass.run(Ranking.rank(ready, order.behind(ready, workers.values()), wallMs));
             order.onPass(pass.foundNoRoom());
+            delayed.check(unfinished.values(), pass::placer, true, nowMs, wallMs);
+        } else {
+            delayed.check(unfinished.values(), () -> new Placer(workers.values(), ends, nowMs), false, nowMs, wallMs);
         }
         List<PoolAction> result = List.copyOf(actions);
         actions.clear();
--- a/library/src/main/java/io/radishspindle/pool/core/SchedulingPass.java
+++ b/library/src/main/java/io/radishspindle/pool/core/SchedulingPass.java
@@ -89,6 +89,11 @@
         }
     }
 
+    /** The placement of this pass, with what it has started and what it holds. */
+    Placer placer() {
+        return placer;
+    }
+
     /** Returns whether the pass found no room for some task that may start. */
     boolean foundNoRoom() {
         return foundNoRoom;
@@ -239,6 +244,7 @@
         RunState run = new RunState(
                 new Run(task.name, attempt), worker, step.spec.reserved(), task, step.job.job.tenant(), nowMs);
         task.run = run;
+        task.waitsSinceMs = TaskState.NOT_WAITING;
         if (task.lastAttempt == 0) {
             step.lastFirstStartMs = nowMs;
         }
--- a/library/src/main/java/io/radishspindle/pool/core/TaskState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/TaskState.java
@@ -27,6 +27,14 @@
     /** Use {@link #crashRecord}, which also covers gangs. */
     private final CrashRecord crashes = new CrashRecord();
 
+    /** Value of {@link #waitsSinceMs} for a task that doesn't wait, as far as is known. */
+    static final long NOT_WAITING = -1;
+
+    /** For the log: since when the task waits. */
+    long waitsSinceMs = NOT_WAITING;
+    /** For the log: when the wait of the task may be reported again. */
+    long reportDueMs;
+
     String checkpoint = "";
     long earliestStartMs;
     /** Whether a run of the task was stopped for a task of higher priority. */
--- a/library/src/main/java/io/radishspindle/pool/core/WorkerState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/WorkerState.java
@@ -118,13 +118,27 @@
     }
 
     boolean isUsable(long nowMs) {
-        return listed
-                && runs.values().stream().noneMatch(run -> run.hasUnknownResources)
-                && isAnswering(nowMs)
-                && isRegistrationCurrent()
-                && !entry.draining()
-                && !lastHoldFailed
-                && roster.mayStartOn(entry);
+        return unusableBecause(nowMs) == Obstacle.NONE;
+    }
+
+    /** Why nothing may be started on the worker; {@link Obstacle#NONE} if something may. */
+    Obstacle unusableBecause(long nowMs) {
+        if (!listed || !isAnswering(nowMs)) {
+            return Obstacle.NOT_ANSWERING;
+        }
+        if (runs.values().stream().anyMatch(run -> run.hasUnknownResources)) {
+            return Obstacle.UNKNOWN_RUN;
+        }
+        if (!isRegistrationCurrent()) {
+            return Obstacle.OLD_REGISTRATION;
+        }
+        if (entry.draining()) {
+            return Obstacle.DRAINING;
+        }
+        if (lastHoldFailed) {
+            return Obstacle.HOLD_FAILED;
+        }
+        return roster.mayStartOn(entry) ? Obstacle.NONE : Obstacle.NOT_RECORDED;
     }
 
     /**
--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolEventLog.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolEventLog.java
@@ -60,6 +60,8 @@
                     pool,
                     fencingToken,
                     givenUp.crashes());
+        } else if (action instanceof PoolAction.TaskDelayed delayed) {
+            onTaskDelayed(delayed);
         } else if (action instanceof PoolAction.WorkerChanged changed) {
             Logger.info(
                     "event=worker-{} worker={} pool={} reason=\"{}\"",
@@ -85,6 +87,21 @@
         }
     }
 
+    private void onTaskDelayed(PoolAction.TaskDelayed delayed) {
+        metrics.counter("pool.tasks.delayed." + delayed.obstacle()).inc();
+        if (log.allows("task-delayed")) {
+            Logger.info(
+                    "event=task-delayed task={} queue={} pool={} token={} waited_ms={} obstacle={} workers=\"{}\"",
+                    delayed.task(),
+                    delayed.queue(),
+                    pool,
+                    fencingToken,
+                    delayed.waitedMs(),
+                    delayed.obstacle(),
+                    delayed.workers());
+        }
+    }
+
     private void onWorkerCrashed(PoolAction.WorkerCrashed crashed) {
         metrics.counter("pool.workers.crashed").inc();
         if (log.allows("worker-crashed")) {
--- a/library/src/test/java/io/radishspindle/pool/core/LastingTaskBesideRoomTest.java
+++ b/library/src/test/java/io/radishspindle/pool/core/LastingTaskBesideRoomTest.java
@@ -6,8 +6,10 @@
 import io.radishspindle.pool.model.AdvicePolicy;
 import io.radishspindle.pool.model.StepSpec;
 import io.radishspindle.pool.model.TaskName;
-import java.util.List;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /** Guards against lasting tasks that wait although workers on which they may run have room for them. */
 class LastingTaskBesideRoomTest {
@@ -17,23 +19,7 @@
     private static final long LIMIT_MS = 3_000;
 
     private static StepSpec lasting(int count, long milliCores, long memoryMib, String label) {
-        return new StepSpec(
-                count,
-                new Resources(milliCores, memoryMib, 0),
-                400,
-                List.of(),
-                false,
-                false,
-                false,
-                label,
-                "",
-                1,
-                false,
-                true,
-                "",
-                0,
-                false,
-                0);
+        return SimJobs.withLabel(SimJobs.lasting(count, new Resources(milliCores, memoryMib, 0), 1), label);
     }
 
     /**
@@ -64,4 +50,24 @@
         assertThat(pool.history.firstStartMs).containsKey(new TaskName("waits", 0, 0, 0));
         assertThat(pool.history.violations).isEmpty();
     }
+
+    /** Seeds of the mix; {@code -Dpool.seeds=first-last} selects another range. */
+    static LongStream seeds() {
+        String[] range = System.getProperty("pool.seeds", "1-6").split("-");
+        return LongStream.rangeClosed(Long.parseLong(range[0]), Long.parseLong(range[1]));
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void should_start_lasting_tasks_beside_room_within_3_s_once_faults_are_over(long seed) {
+        // given
+        LastingMix mix = new LastingMix(seed);
+
+        // when
+        mix.run(3);
+
+        // then
+        assertThat(mix.waits).isEmpty();
+        assertThat(mix.pool.history.violations).isEmpty();
+    }
 }
--- a/library/src/test/java/io/radishspindle/pool/core/PoolSimulation.java
+++ b/library/src/test/java/io/radishspindle/pool/core/PoolSimulation.java
@@ -111,6 +111,9 @@
     /** Reasons of the stops that were sent. */
     final List<String> stopReasons = new ArrayList<>();
 
+    /** Reported waits beside room. */
+    final List<PoolAction.TaskDelayed> delays = new ArrayList<>();
+
     /** Registrations as the VMs know them. */
     private final Map<String, WorkerEntry> knownEntries = new HashMap<>();
 
@@ -509,6 +512,8 @@
                     owner.onStopReply(stop.worker().id(), stop.run(), answer, nowMs);
                 }
             });
+        } else if (action instanceof PoolAction.TaskDelayed delayed) {
+            delays.add(delayed);
         } else if (action instanceof PoolAction.Advise advise) {
             adviceCalls++;
             after(advise.expectedMs(), () -> {
@@ -523,9 +528,7 @@
         Map<String, String> tickets = new HashMap<>();
         for (String id : advise.workers()) {
             String ticket = advise.step() + "/" + id;
-            long draw =
-                    RandomSource.SPLIT_MIX_64.create((long) ticket.hashCode()).nextLong(1_000);
-            if (draw < 1_000 * adviceApproval) {
+            if (approves(advise.step(), id)) {
                 tickets.put(id, ticket);
                 ticketEndsMs.put(ticket, nowMs + ticketValidityMs);
             }
@@ -533,6 +536,12 @@
         return tickets;
     }
 
+    /** Whether the advice service lets a step run on a worker. */
+    boolean approves(String step, String worker) {
+        String ticket = step + "/" + worker;
+        return RandomSource.SPLIT_MIX_64.create((long) ticket.hashCode()).nextLong(1_000) < 1_000 * adviceApproval;
+    }
+
     /** Sends an order; {@code onAnswer} receives null if there is no answer. */
     private void send(String id, Function<SimWorker, Answer> order, Consumer<@Nullable Answer> onAnswer) {
         SimWorker worker = workers.get(id);
--- a/library/src/test/java/io/radishspindle/pool/core/SimHistory.java
+++ b/library/src/test/java/io/radishspindle/pool/core/SimHistory.java
@@ -82,6 +82,10 @@
         runningOn.add(worker);
     }
 
+    boolean isRunning(TaskName task) {
+        return !running.getOrDefault(task, Set.of()).isEmpty();
+    }
+
     void ended(Run run, String worker, RunEnd end) {
         running.getOrDefault(run.task(), Set.of()).remove(worker);
         if (end == RunEnd.DONE) {
--- a/library/src/test/java/io/radishspindle/pool/core/SimJobs.java
+++ b/library/src/test/java/io/radishspindle/pool/core/SimJobs.java
@@ -55,6 +55,27 @@
         return createStep(count, perTask, estimateMs, List.of(), gang, 0, false);
     }
 
+    /** Creates a step of lasting tasks, at most {@code maxPerWorker} on a worker unless that is 0. */
+    static StepSpec lasting(int count, Resources perTask, int maxPerWorker) {
+        return new StepSpec(
+                count,
+                perTask,
+                400,
+                List.of(),
+                false,
+                false,
+                false,
+                "",
+                "",
+                maxPerWorker,
+                false,
+                true,
+                "",
+                0,
+                false,
+                0);
+    }
+
     static StepSpec serving(int count, long milliCores) {
         return createStep(count, new Resources(milliCores, 100, 0), 400, List.of(), false, 50, false);
     }
--- a/library/src/test/java/io/radishspindle/pool/core/SimWorker.java
+++ b/library/src/test/java/io/radishspindle/pool/core/SimWorker.java
@@ -196,6 +196,11 @@
                 .reduce(entry.capacity(), Resources::atLeast);
     }
 
+    /** The capacity that no run takes. */
+    Resources free() {
+        return running.values().stream().map(active -> active.resources).reduce(entry.capacity(), Resources::minus);
+    }
+
     private void checkCapacity(long nowMs) {
         Resources sum = Resources.NONE;
         for (ActiveRun active : running.values()) {
