--- a/library/src/test/java/io/radishspindle/pool/core/PoolSimulation.java
+++ b/library/src/test/java/io/radishspindle/pool/core/PoolSimulation.java
@@ -175,21 +175,6 @@
         return new PoolScheduler(new PoolOptions(limits, runTimes.get(), weights, roster, maxLeaseMs));
     }
 
-    /** The limits must know exactly the runs that the scheduler knows. */
-    private void checkLedger() {
-        Map<String, Resources> runs = new HashMap<>();
-        scheduler.workerStates().stream()
-                .flatMap(worker -> worker.runs.values().stream())
-                .filter(run -> run.tenant != null)
-                .forEach(run -> runs.merge(run.tenant, run.charged, Resources::plus));
-        history.quotas.keySet().forEach(tenant -> {
-            Resources expected = runs.getOrDefault(tenant, Resources.NONE);
-            if (!limits.running(tenant).equals(expected)) {
-                history.violation(tenant + " has " + expected + ", its limits count " + limits.running(tenant));
-            }
-        });
-    }
-
     UniformRandomProvider random() {
         return random;
     }
@@ -398,7 +383,7 @@
                     .forEach(this::perform);
             write();
             recordWorkers();
-            checkLedger();
+            SimLedger.check(scheduler, limits, history);
         }
     }
 
