Count a peer connection that is being closed as closed

700 connections to the peers' port that send nothing left the VM with 600 open descriptors, its limit, though at most 64 connections without a completed handshake are allowed. When the limit is reached, the oldest one is closed to make room, but it stayed in the set until its channel was closed, which happens after the accepts of the same turn of the event loop: every accept of that turn closed the same connection again.

The oldest connection now leaves the set at once. The 47 cases of HostilePeersTest and the 7 of TcpPeerMessengerTest pass.

--- a/library/src/main/java/io/radishspindle/protocol/PeerListener.java
+++ b/library/src/main/java/io/radishspindle/protocol/PeerListener.java
@@ -59,7 +59,10 @@
 
     void accept(NetSocket socket) {
         if (unauthenticated.size() >= MAX_UNAUTHENTICATED) {
-            unauthenticated.iterator().next().close("too many connections without a completed handshake");
+            // Removed at once, as a connection that is being closed would be chosen again.
+            PeerConnection oldest = unauthenticated.iterator().next();
+            oldest.close("too many connections without a completed handshake");
+            unauthenticated.remove(oldest);
         }
         unauthenticated.add(new PeerConnection(vertx, clock, socket, authenticator, localVm, "", this));
     }
