Bound what callers occupy, where their bytes arrive

What callers saw: after a few hundred unfinished bodies, endless bodies, half-sent headers or requests sent ahead, a VM lived on and answered nothing, also after they had gone.

Bodies were checked against their maximum after they had been read, each on its own; headers, requests ahead, responses and connections had no bound at all, and every byte of input renewed the idle timeout.

Ingress creates the callers' server. A handler at the head of each connection counts the bytes as they are read, passes them on in steps of 128 bytes, takes no further request while one is served or its response is unsent, and charges connection, header, body, requests and output to one budget (a fifth of the heap). Beyond it, the request that has made no progress for longest gives way, by 503 if its header is complete; requests that are being served never do. Connections are at most a quarter of the descriptors. Header, body, response, the rest of a refused body and idle time have deadlines that trickles don't renew. Input of callers gets half of the event loop's time. One BodyReader serves both daemons; HTTP/2 upgrades, which would pass by the limits, are off.

--- a/library/src/main/java/io/radishspindle/entry/EntryVm.java
+++ b/library/src/main/java/io/radishspindle/entry/EntryVm.java
@@ -5,6 +5,8 @@
 import io.radishspindle.entry.job.JobApi;
 import io.radishspindle.entry.job.JobRouter;
 import io.radishspindle.idempotency.StoreKeyedRequests;
+import io.radishspindle.ingress.Ingress;
+import io.radishspindle.ingress.IngressCapacity;
 import io.radishspindle.membership.MembershipService;
 import io.radishspindle.membership.MembershipView;
 import io.radishspindle.ownership.GroupRuntime;
@@ -23,7 +25,6 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
-import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.ext.web.Router;
 import java.util.UUID;
@@ -37,9 +38,6 @@
  * <p>Invariant: {@link #stop} finishes requests in flight and gives up the groups before it closes the listeners.
  */
 public final class EntryVm {
-    /** Bounds headers of callers; larger requests are refused by the HTTP server with status 431. */
-    private static final int MAX_HEADER_BYTES = 16 * 1024;
-
     /** Closes connections of callers that send nothing for longer than the longest deadline of a request. */
     private static final int CALLER_IDLE_SECONDS = 120;
 
@@ -106,9 +104,12 @@
                         .mapEmpty());
         jobApi = new JobApi(
                 vertx, clock, jobRouter, keyed, () -> UUID.randomUUID().toString());
-        var options = new HttpServerOptions().setMaxHeaderSize(MAX_HEADER_BYTES).setIdleTimeout(CALLER_IDLE_SECONDS);
-        callersServer = vertx.createHttpServer(options);
-        operatorsServer = vertx.createHttpServer(options);
+        IngressCapacity capacity = IngressCapacity.ofProcess();
+        Ingress ingress = new Ingress(vertx, clock, metrics, capacity.memoryBytes());
+        callersServer =
+                ingress.createServer(settings.listen().callersPort(), capacity.connections(), CALLER_IDLE_SECONDS);
+        operatorsServer = ingress.createServer(
+                settings.listen().operatorsPort(), IngressCapacity.SERVICE_CONNECTIONS, CALLER_IDLE_SECONDS);
     }
 
     /** Starts listeners and services; the VM is ready once it knows a configuration and the VM list. */
--- a/library/src/main/java/io/radishspindle/routing/CallerResponder.java
+++ b/library/src/main/java/io/radishspindle/routing/CallerResponder.java
@@ -3,6 +3,7 @@
 import io.radishspindle.entry.http.FailureResponse;
 import io.radishspindle.error.ErrorCode;
 import io.radishspindle.error.Failure;
+import io.radishspindle.ingress.BodyReader;
 import io.radishspindle.platform.ExecutorClient.ServiceResponse;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
@@ -90,9 +91,6 @@
                 ? FailureResponse.write(response, PAYLOAD_TOO_LARGE, failure)
                 : FailureResponse.write(response, failure);
         limitTime(written);
-        if (unread) {
-            written.onComplete(done -> request.connection().close());
-        }
         return written;
     }
 
--- a/library/src/main/java/io/radishspindle/routing/RequestService.java
+++ b/library/src/main/java/io/radishspindle/routing/RequestService.java
@@ -7,6 +7,7 @@
 import io.radishspindle.idempotency.KeyedRequests;
 import io.radishspindle.idempotency.KeyedRequests.BeginResult;
 import io.radishspindle.idempotency.KeyedRequests.KeyedRequest;
+import io.radishspindle.ingress.BodyReader;
 import io.radishspindle.membership.MembershipView;
 import io.radishspindle.membership.ServiceLoad;
 import io.radishspindle.platform.Clock;
@@ -71,7 +72,7 @@
         context = vertx.getOrCreateContext();
         RoutingCore core = new RoutingCore(RoutingOptions.of(settings), RandomSource.createLong());
         runtime = new RoutingRuntime(vertx, context, clock, executors, peers, core, metrics);
-        bodies = new BodyReader(vertx, routingSettings.maxBodyBytes());
+        bodies = new BodyReader(vertx, clock);
     }
 
     /** Starts the timers and accepts forwarded requests of peers. */
@@ -138,14 +139,14 @@
         if ("100-continue".equalsIgnoreCase(request.getHeader("Expect"))) {
             request.response().writeContinue();
         }
-        long timeoutMs = head.get().deadlineAtMs() - clock.nowMs();
-        bodies.read(request, timeoutMs).onSuccess(body -> {
-            if (body.isLeft()) {
-                tracked.fail(body.getLeft());
-            } else {
-                admit(request, head.get(), body.get(), tracked);
-            }
-        });
+        bodies.read(request, routingSettings.maxBodyBytes(), head.get().deadlineAtMs())
+                .onSuccess(body -> {
+                    if (body.isLeft()) {
+                        tracked.fail(body.getLeft());
+                    } else {
+                        admit(request, head.get(), body.get(), tracked);
+                    }
+                });
     }
 
     private void admit(HttpServerRequest request, CallerRequest head, Buffer body, TrackedResponder tracked) {
--- a/library/src/test/java/io/radishspindle/routing/RoutingFixture.java
+++ b/library/src/test/java/io/radishspindle/routing/RoutingFixture.java
@@ -4,6 +4,7 @@
 import io.radishspindle.error.ErrorCode;
 import io.radishspindle.error.Failure;
 import io.radishspindle.idempotency.KeyedRequests;
+import io.radishspindle.ingress.Ingress;
 import io.radishspindle.membership.MembershipView.Endpoint;
 import io.radishspindle.membership.MembershipView.EntryVm;
 import io.radishspindle.membership.ServiceLoad;
@@ -57,6 +58,8 @@
     boolean waitForSlots = true;
     final MetricRegistry metrics = new MetricRegistry();
     String dataCentre = "dc1";
+    private static final long INGRESS_BYTES = 64L * 1024 * 1024;
+
     private final List<EntryVm> otherVms = new ArrayList<>();
     volatile int port;
     /** Event loop of the callers' connections; null before the start. */
@@ -154,7 +157,8 @@
         @Override
         public Future<?> start() {
             callersContext = context;
-            return vertx.createHttpServer()
+            return new Ingress(vertx, new SystemClock(), metrics, INGRESS_BYTES)
+                    .createServer(0, 100, 60)
                     .requestHandler(router)
                     .listen(0, "127.0.0.1")
                     .onSuccess(server -> port = server.actualPort());
