--- a/library/src/main/java/io/radishspindle/ingress/GuardedConnection.java
+++ b/library/src/main/java/io/radishspindle/ingress/GuardedConnection.java
@@ -79,6 +79,10 @@
         return port;
     }
 
+    boolean isClosed() {
+        return closed;
+    }
+
     String address() {
         SocketAddress remote = channel.remoteAddress();
         return remote instanceof InetSocketAddress inet ? inet.getHostString() + ":" + inet.getPort() : "unknown";
--- a/library/src/main/java/io/radishspindle/ingress/IngressLog.java
+++ b/library/src/main/java/io/radishspindle/ingress/IngressLog.java
@@ -4,6 +4,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.radishspindle.platform.Clock;
 import io.radishspindle.pool.runtime.BoundedLog;
+import java.util.Locale;
 import org.tinylog.Logger;
 
 /** Reports each limit that a caller met, as a bounded log line and a counter. Confined to one event loop. */
@@ -28,12 +29,13 @@
 
     void reached(IngressLimit limit, Action action, GuardedConnection connection, MemoryBudget budget, long nowMs) {
         metrics.counter("callers.limited." + limit.label()).inc();
-        if (lines.allows(EVENT)) {
+        // Callers leave connections idle in the ordinary course of things.
+        if (limit != IngressLimit.IDLE_TIME && lines.allows(EVENT)) {
             Logger.warn(
                     "event={} limit={} action={} port={} address={} stalled_ms={} occupied={} sum={} max={}",
                     EVENT,
                     limit.label(),
-                    action.name().toLowerCase(java.util.Locale.ROOT),
+                    action.name().toLowerCase(Locale.ROOT),
                     connection.port(),
                     connection.address(),
                     nowMs - connection.progressAtMs(),
--- a/library/src/main/java/io/radishspindle/ingress/MessageObserver.java
+++ b/library/src/main/java/io/radishspindle/ingress/MessageObserver.java
@@ -27,7 +27,7 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         if (message instanceof HttpRequest request) {
-            connection.onRequest(HttpUtil.getContentLength(request, 0L));
+            connection.onRequest(contentLength(request));
         }
         if (message instanceof HttpContent content) {
             connection.onBody(content.content().readableBytes());
@@ -39,6 +39,11 @@
         }
     }
 
+    /** The server rejects a request whose length is not a number. */
+    private static long contentLength(HttpRequest request) {
+        return request.decoderResult().isFailure() ? 0 : HttpUtil.getContentLength(request, 0L);
+    }
+
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
         boolean last = message instanceof LastHttpContent && !isInterim(message);
