--- a/library/src/test/java/io/radishspindle/ingress/IngressTest.java
+++ b/library/src/test/java/io/radishspindle/ingress/IngressTest.java
@@ -115,6 +115,14 @@
         return read.toString();
     }
 
+    private void awaitServed(String path) {
+        long untilMs = System.currentTimeMillis() + READ_TIMEOUT_MS;
+        while (!served.contains(path)) {
+            assertThat(System.currentTimeMillis()).as("time limit of the test").isLessThan(untilMs);
+            Thread.onSpinWait();
+        }
+    }
+
     private static String chunk(int bytes) {
         return Integer.toHexString(bytes) + "\r\n" + "x".repeat(bytes) + "\r\n";
     }
@@ -184,8 +192,10 @@
     @Test
     void should_not_end_a_request_that_is_served_when_connections_are_used_up() throws IOException {
         // given
-        Socket served = connect();
-        send(served, post("/wait", "Content-Length: 0"));
+        Socket waitingCaller = connect();
+        send(waitingCaller, post("/wait", "Content-Length: 0"));
+        // A connection whose request has not been read is idle.
+        awaitServed("/wait");
         for (int i = 0; i < 3 * MAX_CONNECTIONS; i++) {
             connect();
         }
@@ -195,7 +205,7 @@
         // when
         vertx.runOnContext(ignored -> waiting.get(0).response().end("late"));
         // then
-        assertThat(readUntil(served, "late")).startsWith("HTTP/1.1 200");
+        assertThat(readUntil(waitingCaller, "late")).startsWith("HTTP/1.1 200");
         assertThat((Integer) metrics.getGauges().get("callers.connections").getValue())
                 .isLessThanOrEqualTo(MAX_CONNECTIONS);
     }
