Give connections that wait for their turn a turn of 1 KB

A turn is 1 KB now while others wait, and the turns of a window follow each other until its time is used up.

--- a/library/src/main/java/io/radishspindle/ingress/ByteGate.java
+++ b/library/src/main/java/io/radishspindle/ingress/ByteGate.java
@@ -18,6 +18,9 @@
     /** Input that is decoded at once where a request may end in it; the shortest request has 18 bytes. */
     private static final int STEP_BYTES = 128;
 
+    /** Input of one connection that is processed before others that wait have their turn. */
+    private static final int TURN_BYTES = 1_024;
+
     private final GuardedConnection connection;
     private final ReadPacer pacer;
     private @Nullable ChannelHandlerContext added;
@@ -28,6 +31,9 @@
     private boolean readPending;
 
     private boolean passing;
+    /** Input of the current turn, which others may wait for. */
+    private int turnBytes;
+
     private boolean awaitsTurn;
 
     ByteGate(GuardedConnection connection, ReadPacer pacer) {
@@ -72,6 +78,7 @@
             return;
         }
         passing = true;
+        turnBytes = 0;
         long startNs = System.nanoTime();
         try {
             while (held != null && mayPass(context)) {
@@ -88,7 +95,7 @@
         if (connection.isBusy() || isPausedByServer(context)) {
             return false;
         }
-        if (pacer.isExhausted()) {
+        if (pacer.isExhausted() || (pacer.isContended() && turnBytes >= TURN_BYTES)) {
             awaitTurn(context);
             return false;
         }
@@ -117,6 +124,7 @@
         if (last) {
             held = null;
         }
+        turnBytes += bytes;
         connection.onReleased(bytes);
         context.fireChannelRead(step);
     }
--- a/library/src/main/java/io/radishspindle/ingress/ReadPacer.java
+++ b/library/src/main/java/io/radishspindle/ingress/ReadPacer.java
@@ -32,6 +32,11 @@
         return usedNs >= INPUT_NS;
     }
 
+    /** Whether other connections wait for their turn. */
+    boolean isContended() {
+        return !waiting.isEmpty();
+    }
+
     /** Records that input was processed since a time of {@link System#nanoTime}. */
     void usedSince(long startNs) {
         usedNs += System.nanoTime() - startNs;
@@ -53,8 +58,8 @@
 
     private void resume(EventExecutor loop) {
         scheduled = false;
-        // Actions that have to wait again are added at the end.
-        for (int left = waiting.size(); left > 0 && !isExhausted(); left--) {
+        // Connections that have to wait again are added at the end.
+        while (!waiting.isEmpty() && !isExhausted()) {
             waiting.remove().run();
         }
         if (!waiting.isEmpty()) {
