Accept no connection while the event loop has not seen those before

A trial with 2,100 connections to the peers' port showed 1,509 for a moment.

A handler on the server's channel stops accepting while more than 64 connections are unseen; the rest waits in the queue of the operating system, without a descriptor. It is installed with the first connection of a server, as Vert.x does not show the channel before.

--- a/library/src/main/java/io/radishspindle/ingress/Ingress.java
+++ b/library/src/main/java/io/radishspindle/ingress/Ingress.java
@@ -128,6 +128,7 @@
             // The channel is not part of the public interface of a connection.
             ChannelHandlerContext context = ((ConnectionBase) accepted).channelHandlerContext();
             Channel channel = context.channel();
+            AcceptGate.onSeen(channel);
             GuardedConnection connection = new GuardedConnection(clock, channel, number, timeouts, budget, log);
             if (open.size() >= maxConnections) {
                 MemoryBudget.Occupant first = GiveWayOrder.CONNECTIONS.first(open, clock.nowMs());
--- a/library/src/main/java/io/radishspindle/protocol/PeerListener.java
+++ b/library/src/main/java/io/radishspindle/protocol/PeerListener.java
@@ -2,12 +2,14 @@
 
 import io.radishspindle.error.ErrorCode;
 import io.radishspindle.error.Failure;
+import io.radishspindle.ingress.AcceptGate;
 import io.radishspindle.platform.Clock;
 import io.radishspindle.protocol.Frame.Envelope;
 import io.vavr.control.Either;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetSocket;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -58,6 +60,9 @@
     }
 
     void accept(NetSocket socket) {
+        if (socket instanceof NetSocketInternal accepted) {
+            AcceptGate.onSeen(accepted.channelHandlerContext().channel());
+        }
         if (unauthenticated.size() >= MAX_UNAUTHENTICATED) {
             // Removed at once, as a connection that is being closed would be chosen again.
             PeerConnection oldest = unauthenticated.iterator().next();
