A request that is served doesn't give way to the body of the next one

Found by reading: a connection that serves a request and receives the body of a second one, sent ahead, counted as one that only receives, so that it could be closed with the first request unanswered, and its further input was decoded. The rule says that a request that is being served never gives way. It now counts requests whose bodies are complete.

It is compared after each charge now, once a second, and without recursion, as the event loop has a stack of 256 KB. A written response has a second to be sent before its connection gives way.

--- a/library/src/main/java/io/radishspindle/ingress/GuardedConnection.java
+++ b/library/src/main/java/io/radishspindle/ingress/GuardedConnection.java
@@ -3,8 +3,6 @@
 import io.netty.channel.Channel;
 import io.radishspindle.ingress.IngressLog.Action;
 import io.radishspindle.platform.Clock;
-import java.net.InetSocketAddress;
-import java.net.SocketAddress;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -14,7 +12,8 @@
  * <p>A connection is idle, then receives a header, then a body, is served, and idle again once its response has been
  * sent. A request whose response is sent before its body has ended is refused: the rest of the body is discarded.
  *
- * <p>Invariants: {@code headBytes} is 0 while a body is received; {@code occupied} is the sum of what is charged for the
+ * <p>Invariants: a connection whose request is served neither gives way nor has further input decoded, unless its
+ * responses are not read; {@code headBytes} is 0 while a body is received; {@code occupied} is the sum of what is charged for the
  * connection, its input, its requests and its output, and is what the budget has been charged; nothing is charged after
  * {@link #closed}.
  */
@@ -29,12 +28,14 @@
     static final int HEAP_PER_BODY_BYTE = 8;
     /** Unsent output at which no further request is taken from a connection. */
     private static final int MAX_UNSENT_BYTES = 8 * 1024;
+    /** Time in which a response can reach its caller, however full the memory is. */
+    private static final long MIN_SENDING_MS = 1_000;
     /** Part of a body that counts as progress. */
     private static final int PROGRESS_BYTES = 16 * 1024;
 
     private final Clock clock;
     private final Channel channel;
-    private final int port;
+    private final CallerAddress address;
     private final IngressTimeouts timeouts;
     private final MemoryBudget budget;
     private final IngressLog log;
@@ -67,7 +68,7 @@
             Clock clock, Channel channel, int port, IngressTimeouts timeouts, MemoryBudget budget, IngressLog log) {
         this.clock = clock;
         this.channel = channel;
-        this.port = port;
+        address = CallerAddress.of(channel, port);
         this.timeouts = timeouts;
         this.budget = budget;
         this.log = log;
@@ -75,19 +76,14 @@
         becomeIdle();
     }
 
-    int port() {
-        return port;
+    CallerAddress address() {
+        return address;
     }
 
     boolean isClosed() {
         return closed;
     }
 
-    String address() {
-        SocketAddress remote = channel.remoteAddress();
-        return remote instanceof InetSocketAddress inet ? inet.getHostString() + ":" + inet.getPort() : "unknown";
-    }
-
     @Override
     public long occupiedBytes() {
         return occupied;
@@ -100,7 +96,8 @@
 
     @Override
     public boolean canGiveWay() {
-        boolean served = openRequests > 0 && !receivingBody && unsentBytes <= MAX_UNSENT_BYTES;
+        boolean sending = unsentBytes > 0 && clock.nowMs() - progressAtMs < MIN_SENDING_MS;
+        boolean served = (servedRequests() > 0 || sending) && unsentBytes <= MAX_UNSENT_BYTES;
         return !closed && !served && !refusing;
     }
 
@@ -127,7 +124,12 @@
 
     /** Whether further input has to wait, as the VM works on a request or its responses are unsent. */
     boolean isBusy() {
-        return closed || (openRequests > 0 && !receivingBody) || unsentBytes > MAX_UNSENT_BYTES;
+        return closed || servedRequests() > 0 || unsentBytes > MAX_UNSENT_BYTES;
+    }
+
+    /** Requests without a response whose bodies are complete. */
+    private int servedRequests() {
+        return receivingBody && !refused ? openRequests - 1 : openRequests;
     }
 
     /** Sets what refuses the request whose body is being received; the connection is closed if there is nothing. */
@@ -216,13 +218,15 @@
         refusing = false;
         openRequests = Math.max(0, openRequests - 1);
         if (openRequests > 0) {
+            // A later request, whose body is being received, may give way from now on.
+            budget.makeRoom();
             return;
         }
+        onProgress();
         charge(-requestCharge);
         requestCharge = 0;
         releaseBody();
         refuse = null;
-        onProgress();
         if (receivingBody) {
             refused = true;
             awaitUntil(timeouts.discardMs(), IngressLimit.DISCARD_TIME);
--- a/library/src/main/java/io/radishspindle/ingress/Ingress.java
+++ b/library/src/main/java/io/radishspindle/ingress/Ingress.java
@@ -105,6 +105,7 @@
     private void checkDeadlines() {
         long nowMs = clock.nowMs();
         List.copyOf(connections).forEach(connection -> connection.checkDeadline(nowMs));
+        budget.makeRoom();
         if (connections.isEmpty()) {
             vertx.cancelTimer(checkTimer);
             checkTimer = -1;
--- a/library/src/main/java/io/radishspindle/ingress/MemoryBudget.java
+++ b/library/src/main/java/io/radishspindle/ingress/MemoryBudget.java
@@ -8,7 +8,7 @@
  * The sum of the memory that callers of one process occupy, over all its ports. Confined to one event loop.
  *
  * <p>Invariant: the sum is that of {@link Occupant#occupiedBytes} of all occupants, and is at most the maximum whenever
- * no occupant is being charged, unless all that exceeds it belongs to occupants that are being served.
+ * no occupant is being charged, unless all that exceeds it belongs to occupants that can't give way.
  */
 final class MemoryBudget {
     /** Somebody who occupies memory and can be asked to release it. Confined to the event loop of the budget. */
@@ -33,6 +33,8 @@
     private final Clock clock;
     private final Set<Occupant> occupants = new LinkedHashSet<>();
     private long occupiedBytes;
+    /** An occupant that gives way is charged, too, which must not recurse. */
+    private boolean makingRoom;
 
     /** @param clock the clock by which occupants report their progress */
     MemoryBudget(Clock clock, long maxBytes) {
@@ -66,19 +68,24 @@
     void charge(Occupant occupant, long bytes) {
         if (occupants.contains(occupant)) {
             occupiedBytes += bytes;
-            if (bytes > 0) {
-                makeRoom();
-            }
+            makeRoom();
         }
     }
 
-    private void makeRoom() {
-        while (occupiedBytes > maxBytes) {
-            Occupant first = GiveWayOrder.MEMORY.first(occupants, clock.nowMs());
-            if (first == null) {
-                return;
+    /** Lets occupants give way for as long as the sum is exceeded. */
+    void makeRoom() {
+        if (makingRoom) {
+            return;
+        }
+        makingRoom = true;
+        try {
+            Occupant first = occupiedBytes > maxBytes ? GiveWayOrder.MEMORY.first(occupants, clock.nowMs()) : null;
+            while (first != null) {
+                first.giveWay(IngressLimit.MEMORY);
+                first = occupiedBytes > maxBytes ? GiveWayOrder.MEMORY.first(occupants, clock.nowMs()) : null;
             }
-            first.giveWay(IngressLimit.MEMORY);
+        } finally {
+            makingRoom = false;
         }
     }
 }
--- a/library/src/test/java/io/radishspindle/ingress/GuardedConnectionTest.java
+++ b/library/src/test/java/io/radishspindle/ingress/GuardedConnectionTest.java
@@ -157,6 +157,25 @@
         assertThat(budget.occupiedBytes()).isEqualTo(GuardedConnection.CONNECTION_BYTES);
     }
 
+    /** A second request, whose body arrives meanwhile, must not end the first one. */
+    @Test
+    void should_not_give_way_while_an_earlier_request_is_served() {
+        // given
+        GuardedConnection connection = connect(new MemoryBudget(clock, Long.MAX_VALUE));
+        connection.onRequest(0);
+        connection.onRequestEnd();
+        // when
+        connection.onRequest(1_000);
+        // then
+        assertThat(connection.canGiveWay()).isFalse();
+        assertThat(connection.isBusy()).isTrue();
+        // when
+        connection.onResponse();
+        // then
+        assertThat(connection.canGiveWay()).isTrue();
+        assertThat(connection.isBusy()).isFalse();
+    }
+
     /** Which of two connections gives way, by what they do and when they last made progress. */
     @Test
     void should_let_a_stalled_request_give_way_before_a_newer_one_and_an_idle_connection() {
