--- a/library/src/main/java/io/radishspindle/ingress/AcceptGate.java
+++ b/library/src/main/java/io/radishspindle/ingress/AcceptGate.java
@@ -24,8 +24,8 @@
     }
 
     /**
-     * Reports a connection that the event loop has seen. The first one of a server installs the gate, as the channel of a
-     * server is reached only through its connections.
+     * Reports a connection that the event loop has seen. The first one of a server installs the gate, as the channel of
+     * a server is reached only through its connections.
      */
     public static void onSeen(Channel connection) {
         Channel server = connection.parent();
--- a/library/src/main/java/io/radishspindle/ingress/GuardedConnection.java
+++ b/library/src/main/java/io/radishspindle/ingress/GuardedConnection.java
@@ -13,9 +13,9 @@
  * sent. A request whose response is sent before its body has ended is refused: the rest of the body is discarded.
  *
  * <p>Invariants: a connection whose request is served neither gives way nor has further input decoded, unless its
- * responses are not read; {@code headBytes} is 0 while a body is received; {@code occupied} is the sum of what is charged for the
- * connection, its input, its requests and its output, and is what the budget has been charged; nothing is charged after
- * {@link #closed}.
+ * responses are not read; {@code headBytes} is 0 while a body is received; {@code occupied} is the sum of what is
+ * charged for the connection, its input, its requests and its output, and is what the budget has been charged; nothing
+ * is charged after {@link #closed}.
  */
 final class GuardedConnection implements MemoryBudget.Occupant {
     /** Heap of an open connection, and its receive buffer. */
@@ -24,7 +24,7 @@
     static final int REQUEST_BYTES = 8 * 1024;
     /** Heap for each byte of a header; a header line of four bytes takes two hundred. */
     static final int HEAP_PER_HEAD_BYTE = 50;
-    /** Heap for each byte of a body: the buffer with its spare half, the decoded body, and what is sent to the store. */
+    /** Heap for each byte of a body: its buffer with the spare half, the decoded body, what is sent to the store. */
     static final int HEAP_PER_BODY_BYTE = 8;
     /** Unsent output at which no further request is taken from a connection. */
     private static final int MAX_UNSENT_BYTES = 8 * 1024;
--- a/library/src/main/java/io/radishspindle/ingress/Ingress.java
+++ b/library/src/main/java/io/radishspindle/ingress/Ingress.java
@@ -20,8 +20,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Creates HTTP servers whose callers share one bound of memory, whatever they send, hold back or don't read. All servers
- * must be started on the event loop on which they are created; confined to it.
+ * Creates HTTP servers whose callers share one bound of memory, whatever they send, hold back or don't read. All
+ * servers must be started on the event loop on which they are created; confined to it.
  *
  * <p>Invariants: each open connection of the servers is in the set of its port and in the budget; no port has more
  * connections than its maximum.
--- a/library/src/main/java/io/radishspindle/ingress/MemoryBudget.java
+++ b/library/src/main/java/io/radishspindle/ingress/MemoryBudget.java
@@ -64,7 +64,7 @@
         }
     }
 
-    /** Changes the sum by what an occupant occupies more or, if negative, less; occupants give way if it is exceeded. */
+    /** Changes the sum by what an occupant occupies more or, if negative, less; lets occupants give way. */
     void charge(Occupant occupant, long bytes) {
         if (occupants.contains(occupant)) {
             occupiedBytes += bytes;
--- a/library/src/main/java/io/radishspindle/ingress/ReadPacer.java
+++ b/library/src/main/java/io/radishspindle/ingress/ReadPacer.java
@@ -6,11 +6,11 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Bounds the share of an event loop's time that the input of callers takes, so that leases and calls to the store, which
- * the same event loop handles, are not delayed by more than a window. Confined to one event loop.
+ * Bounds the share of an event loop's time that the input of callers takes, so that leases and calls to the store,
+ * which the same event loop handles, are not delayed by more than a window. Confined to one event loop.
  *
- * <p>Invariants: input waits only while the time of the current window is used up, and in the order in which it arrived;
- * while any waits, one timer is scheduled.
+ * <p>Invariants: input begins to wait only once the time of a window is used up, and waits in the order in which it
+ * arrived; while any waits, one timer is scheduled.
  */
 final class ReadPacer {
     private static final long WINDOW_NS = TimeUnit.MILLISECONDS.toNanos(20);
