Likely culprits wait while workers are down for any cause; crash delays are learned

Cause: 13 of 23 crashes were repeats under known suspects while 15 to 55 sound jobs waited. Trials counted only the workers that its own trials took, not those that first crashes had taken; every run younger than 300 ms became a suspect though workers crash about 25 ms after the start; a worker took one unproven step in 300 ms.

Change: a likely culprit is tried only while, with its own, at most a tenth of the workers are down or closed for any cause; in pools below ten not while other tasks wait, for 20 s at most. CrashDelays learns the delay of crashes; suspects of another age are left out, and unproven steps hold others back for that time only. Tasks that have survived a start stay proven. Suspects are excused when another suspect of the crash takes down the worker of its trial. An unproven step has one worker at risk. worker-crashed shows ages.

--- a/library/src/main/java/io/radishspindle/pool/core/CrashAttribution.java
+++ b/library/src/main/java/io/radishspindle/pool/core/CrashAttribution.java
@@ -90,6 +90,7 @@
     private final JobEvents jobEvents;
     private final List<PoolAction> actions;
     private final Deque<Break> breaks = new ArrayDeque<>();
+    private final CrashDelays delays = new CrashDelays();
     private final List<Loss> unproven = new ArrayList<>();
     private final List<OpenCase> openCases = new ArrayList<>();
     /** Jobs that were given up, while a case of their tasks is open. */
@@ -109,8 +110,10 @@
 
     /** The first hold since the last answer of a worker has failed. */
     void onBroken(WorkerState worker, long nowMs) {
-        CrashSuspects candidates = CrashSuspects.of(List.copyOf(worker.runs.values()), nowMs);
+        CrashSuspects all = CrashSuspects.of(List.copyOf(worker.runs.values()), nowMs);
+        CrashSuspects candidates = all.withoutProven().narrowed(delays);
         if (worker.brokenOff && !worker.entry.draining()) {
+            all.delayMs().ifPresent(delays::add);
             candidates.suspects().forEach(suspect -> expose(suspect, worker, candidates.isSole()));
         }
         Set<StepState> steps = candidates.suspects().stream()
@@ -137,7 +140,7 @@
                 lastMs = lost.atMs();
             }
         }
-        return Caution.after(crashes, nowMs < reportsNeededUntilMs);
+        return Caution.after(crashes, nowMs < reportsNeededUntilMs, delays.boundMs());
     }
 
     private void expose(Suspect suspect, WorkerState worker, boolean alone) {
@@ -174,6 +177,17 @@
             candidates = CrashSuspects.unreported(runs, atMs);
             conclusive = false;
         }
+        candidates = candidates.withoutProven();
+        int youngCount = candidates.suspects().size();
+        if (worker.brokenOff) {
+            runs.stream()
+                    .filter(run -> run.task != null && run.hasSurvivedStart(atMs))
+                    .forEach(run -> run.task.survivedStart = true);
+            candidates = candidates.narrowed(delays);
+            // Beside other causes, a run that was left out may be to blame, or none.
+            boolean leftOut = candidates.suspects().size() < youngCount;
+            conclusive &= candidates.agreesWith(delays) && !(leftOut && hasOtherCauses(nowMs));
+        }
         List<Suspect> suspects = candidates.suspects();
         int bystanders = runs.size() - suspects.size();
         Loss loss = new Loss(
@@ -209,7 +223,8 @@
                             task.crashRecord().awaitOutcome(nowMs + INHERITED_EXPOSURE_MS);
                             for (Place place : exposure.places()) {
                                 suspects.computeIfAbsent(place, ignored -> new ArrayList<>())
-                                        .add(new Suspect(task, exposure.attempt(), exposure.alone()));
+                                        .add(new Suspect(
+                                                task, exposure.attempt(), exposure.alone() ? 0 : Long.MAX_VALUE));
                             }
                         }
                     }
@@ -298,6 +313,22 @@
         return true;
     }
 
+    /** A step has crashed the worker of its trial, and so is the likely cause of its earlier crashes too. */
+    private void excuseOthers(StepState culprit) {
+        openCases.removeIf(open -> {
+            List<Suspect> others = open.remaining().stream()
+                    .filter(suspect -> suspect.task().step != culprit)
+                    .toList();
+            if (others.isEmpty() || others.size() == open.remaining().size()) {
+                return false;
+            }
+            others.stream()
+                    .filter(suspect -> suspect.task().step.job.isUnfinished())
+                    .forEach(this::excuse);
+            return true;
+        });
+    }
+
     /** The cause of the crash of a suspect's worker was found in another task. */
     private void excuse(Suspect suspect) {
         suspect.task().crashRecord().excuse(suspect.attempt());
@@ -331,7 +362,7 @@
         boolean common = !lostTogether.isEmpty();
         boolean closed = loss.conclusive() && !common;
         boolean sole = closed
-                && isOfOneStep(loss.suspects())
+                && CrashSuspects.areOfOneStep(loss.suspects())
                 && loss.suspects().stream().allMatch(Suspect::prompt);
         if (common || loss.suspects().isEmpty()) {
             lastOtherCauseMs = nowMs;
@@ -341,9 +372,7 @@
         }
         actions.add(new PoolAction.WorkerCrashed(
                 loss.worker(),
-                loss.suspects().stream()
-                        .map(suspect -> suspect.task().name + "@" + suspect.attempt())
-                        .toList(),
+                loss.suspects().stream().map(Suspect::describe).toList(),
                 sole,
                 loss.bystanders(),
                 lostTogether));
@@ -357,15 +386,13 @@
                 record(suspect, loss, sole || isSoleSuspectOfSilence(suspect, loss, common));
             }
         }
+        if (loss.onTrial() && !common && CrashSuspects.areOfOneStep(loss.suspects())) {
+            excuseOthers(loss.suspects().get(0).task().step);
+        }
         openCases.add(new OpenCase(new ArrayList<>(loss.suspects()), closed, nowMs + PROOF_TIMEOUT_MS));
         loss.suspects().forEach(suspect -> giveUpIfGuilty(suspect.task(), nowMs, wallMs));
     }
 
-    /** Whether no tasks but those of one step can be to blame; each of them then needs a trial of its own. */
-    private static boolean isOfOneStep(List<Suspect> suspects) {
-        return suspects.stream().map(suspect -> suspect.task().step).distinct().count() == 1;
-    }
-
     /**
      * Whether a worker that went silent was taken down by its trial. The moment of the crash isn't known, so that it
      * takes an earlier trial with the same outcome.
@@ -419,10 +446,15 @@
         }
     }
 
+    /** Whether workers have crashed for other causes than tasks lately. */
+    private boolean hasOtherCauses(long nowMs) {
+        return nowMs - lastOtherCauseMs < OTHER_CAUSE_MEMORY_MS;
+    }
+
     private void giveUpIfGuilty(TaskState task, long nowMs, long wallMs) {
         JobState job = task.step.job;
         CrashRecord record = task.crashRecord();
-        if (job.isUnfinished() && record.mustBeGivenUp(nowMs - lastOtherCauseMs < OTHER_CAUSE_MEMORY_MS)) {
+        if (job.isUnfinished() && record.mustBeGivenUp(hasOtherCauses(nowMs))) {
             String crashes = record.describe();
             givenUp.add(job);
             actions.add(new PoolAction.TaskGivenUp(task.name, job.job.queue(), crashes));
--- /dev/null
+++ b/library/src/main/java/io/radishspindle/pool/core/CrashDelays.java
@@ -0,0 +1,45 @@
+package io.radishspindle.pool.core;
+
+import java.util.ArrayDeque;
+import java.util.Collections;
+import java.util.Deque;
+
+/**
+ * How long after the start of a task its worker crashes, learned from crashes for which nothing else can be to blame.
+ * Belongs to its scheduler; not thread-safe.
+ *
+ * <p>Invariant: the bound exceeds each kept delay, and is at most {@link PoolTiming#START_PROOF_MS}.
+ */
+final class CrashDelays {
+    /** Delays from which on the bound is learned; two could be coincidences. */
+    private static final int MIN_KEPT = 3;
+
+    private static final int MAX_KEPT = 16;
+    /** Time after which a crash is noticed at the latest, in milliseconds: the next hold may not have been sent yet. */
+    private static final long NOTICE_MS = PoolTiming.ACK_RETRY_MS;
+    /** Delays may be shorter than the shortest one that is known, by this factor. */
+    private static final int SHORTEST_DIVISOR = 2;
+
+    private final Deque<Long> delaysMs = new ArrayDeque<>();
+
+    void add(long delayMs) {
+        delaysMs.addLast(delayMs);
+        if (delaysMs.size() > MAX_KEPT) {
+            delaysMs.removeFirst();
+        }
+    }
+
+    /** Whether a run of this age may have taken down its worker by its start. */
+    boolean agreesWith(long ageMs) {
+        return delaysMs.size() < MIN_KEPT
+                || (ageMs <= boundMs() && ageMs >= Collections.min(delaysMs) / SHORTEST_DIVISOR);
+    }
+
+    /** Age in milliseconds from which on a run is not expected to crash its worker by its start. */
+    long boundMs() {
+        if (delaysMs.size() < MIN_KEPT) {
+            return PoolTiming.START_PROOF_MS;
+        }
+        return Math.min(PoolTiming.START_PROOF_MS, Collections.max(delaysMs) + NOTICE_MS);
+    }
+}
--- a/library/src/main/java/io/radishspindle/pool/core/CrashRecord.java
+++ b/library/src/main/java/io/radishspindle/pool/core/CrashRecord.java
@@ -32,6 +32,8 @@
     /** Longest time for which a plan keeps workers closed before its trial has started, in milliseconds. */
     private static final long MAX_PLANNED_MS = 1_200;
 
+    private static final long NOT_WANTED = -1;
+
     /** Few tasks have crashes, so that the map is created with the first one. */
     private Map<Integer, Crash> byAttempt = Map.of();
 
@@ -41,6 +43,8 @@
     private long plannedAtMs;
     /** Earliest time of the next plan, after one that could not be started. */
     private long planFromMs = Long.MIN_VALUE;
+    /** When the next trial is overdue, if one is wanted. */
+    private long trialDueMs = NOT_WANTED;
     /** Some worker went silent in its crash, so that time alone doesn't show that a run has survived its start. */
     private boolean silent;
     /** Time up to which the trial of an earlier owner may turn out to have crashed its worker. */
@@ -178,6 +182,17 @@
         durable = false;
         started = false;
         plannedAtMs = nowMs;
+        trialDueMs = NOT_WANTED;
+    }
+
+    /**
+     * Whether a trial that is wanted now has been wanted for too long.
+     *
+     * @param dueMs when it is overdue if it wasn't wanted before
+     */
+    boolean isTrialOverdue(long nowMs, long dueMs) {
+        trialDueMs = trialDueMs == NOT_WANTED ? dueMs : trialDueMs;
+        return nowMs >= trialDueMs;
     }
 
     /** Whether a trial may be planned. */
--- a/library/src/main/java/io/radishspindle/pool/core/CrashSuspects.java
+++ b/library/src/main/java/io/radishspindle/pool/core/CrashSuspects.java
@@ -3,7 +3,11 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.LongSummaryStatistics;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 /**
  * Runs that may be to blame for the loss of their worker, with a gang as one. Immutable and thread-safe.
@@ -16,8 +20,22 @@
     /** Highest age of a run to blame that no report has shown alive, if the others were all shown alive. */
     private static final long MAX_UNREPORTED_MS = 2_000;
 
-    /** @param prompt whether the worker was lost just after it had started the run */
-    record Suspect(TaskState task, int attempt, boolean prompt) {}
+    /** Runs that were started within this time, in milliseconds, count as started together. */
+    private static final long TOGETHER_MS = 30;
+
+    /** @param ageMs from the start of the run to the loss of its worker; {@link Long#MAX_VALUE} if it isn't known */
+    record Suspect(TaskState task, int attempt, long ageMs) {
+        /** Whether the worker was lost just after it had started the run. */
+        boolean prompt() {
+            return ageMs <= PROMPT_MS;
+        }
+
+        /** For the log. */
+        String describe() {
+            String age = ageMs == Long.MAX_VALUE ? "" : "+" + ageMs + "ms";
+            return task.name + "@" + attempt + age;
+        }
+    }
 
     CrashSuspects {
         suspects = List.copyOf(suspects);
@@ -65,12 +83,55 @@
             } else if (records.add(task.crashRecord())) {
                 // A start without an answer may never have been executed, or late.
                 long startedAtMs = run.acceptedAtMs < 0 ? run.sentAtMs : run.acceptedAtMs;
-                suspects.add(new Suspect(task, run.run.attempt(), atMs - startedAtMs <= PROMPT_MS));
+                suspects.add(new Suspect(task, run.run.attempt(), atMs - startedAtMs));
             }
         }
         return new CrashSuspects(suspects, hasUnknown);
     }
 
+    /** Leaves out the tasks of which an earlier run has survived its start, if others remain. */
+    CrashSuspects withoutProven() {
+        return narrowed(suspect -> !suspect.task().survivedStart);
+    }
+
+    /** Leaves out the steps whose runs were older or younger than in earlier crashes, if others remain. */
+    CrashSuspects narrowed(CrashDelays delays) {
+        return narrowed(suspect -> delays.agreesWith(suspect.ageMs()));
+    }
+
+    /** Whether some run was as old as in earlier crashes. */
+    boolean agreesWith(CrashDelays delays) {
+        return suspects.stream().anyMatch(suspect -> delays.agreesWith(suspect.ageMs()));
+    }
+
+    private CrashSuspects narrowed(Predicate<Suspect> isLikely) {
+        Set<StepState> steps = suspects.stream()
+                .filter(isLikely)
+                .map(suspect -> suspect.task().step)
+                .collect(Collectors.toSet());
+        List<Suspect> likely = suspects.stream()
+                .filter(suspect -> steps.contains(suspect.task().step))
+                .toList();
+        return likely.isEmpty() ? this : new CrashSuspects(likely, hasUnknown);
+    }
+
+    /** Whether no tasks but those of one step can be to blame; each of them then needs a trial of its own. */
+    static boolean areOfOneStep(List<Suspect> suspects) {
+        return suspects.stream().map(suspect -> suspect.task().step).distinct().count() == 1;
+    }
+
+    /** How long after its start the run to blame took its worker down, if all suspects were started together. */
+    OptionalLong delayMs() {
+        LongSummaryStatistics ages = suspects.stream().mapToLong(Suspect::ageMs).summaryStatistics();
+        boolean together = ages.getMax() - ages.getMin() <= TOGETHER_MS;
+        return hasUnknown
+                        || suspects.isEmpty()
+                        || !together
+                        || !suspects.stream().allMatch(Suspect::prompt)
+                ? OptionalLong.empty()
+                : OptionalLong.of(ages.getMax());
+    }
+
     boolean isSole() {
         return suspects.size() == 1 && !hasUnknown && suspects.get(0).prompt();
     }
--- a/library/src/main/java/io/radishspindle/pool/core/Placer.java
+++ b/library/src/main/java/io/radishspindle/pool/core/Placer.java
@@ -68,7 +68,7 @@
         double bestScore = Double.MAX_VALUE;
         for (WorkerRoom room : rooms) {
             WorkerState worker = room.worker;
-            if (!room.usable || !room.admits(need, endMs) || !mayRun(step, worker) || !hasTicket(step, worker)) {
+            if (!room.usable || !room.admits(need, endMs) || !mayRun(task, worker) || !hasTicket(step, worker)) {
                 continue;
             }
             double candidate = score.of(task, worker);
@@ -153,12 +153,20 @@
         return mayRun(step, worker, step.spec.gang() ? step.tasks.get(0).crashRecord() : null);
     }
 
+    private boolean mayRun(TaskState task, WorkerState worker) {
+        return ruleAgainst(task.step, worker, null, task.survivedStart) == Obstacle.NONE;
+    }
+
     /** @param suspect whose trial would start on the worker; null for another start */
     private boolean mayRun(StepState step, WorkerState worker, @Nullable CrashRecord suspect) {
-        return ruleAgainst(step, worker, suspect) == Obstacle.NONE;
+        return ruleAgainst(step, worker, suspect, false) == Obstacle.NONE;
     }
 
-    private Obstacle ruleAgainst(StepState step, WorkerState worker, @Nullable CrashRecord suspect) {
+    /**
+     * @param suspect whose trial would start on the worker; null for another start
+     * @param proven whether an earlier run of the task has survived its start
+     */
+    private Obstacle ruleAgainst(StepState step, WorkerState worker, @Nullable CrashRecord suspect, boolean proven) {
         if (worker.trial.exclude(suspect)) {
             return Obstacle.CLOSED_FOR_TRIAL;
         }
@@ -185,7 +193,9 @@
         }
         boolean held = caution.isNeeded()
                 && suspect == null
-                && unprovenSteps(worker, step) >= caution.maxUnprovenSteps(nowMs - step.readySinceMs);
+                && !proven
+                && (unprovenSteps(worker, step) >= caution.maxUnprovenSteps(nowMs - step.readySinceMs)
+                        || isBeingProvenElsewhere(step, worker));
         return held ? Obstacle.UNPROVEN_STARTS : Obstacle.NONE;
     }
 
@@ -219,7 +229,16 @@
                         .anyMatch(room -> room.usable
                                 && room.admits(step.spec.reserved(), ends.endOfStartMs(step))
                                 && hasTicket(step, room.worker)
-                                && ruleAgainst(step, room.worker, null) == Obstacle.UNPROVEN_STARTS);
+                                && ruleAgainst(step, room.worker, null, false) == Obstacle.UNPROVEN_STARTS);
+    }
+
+    /** Whether a step of which no task has survived its start has a run on another worker: one is at risk at a time. */
+    private boolean isBeingProvenElsewhere(StepState step, WorkerState worker) {
+        return !step.hasProvenTask()
+                && step.tasks.stream()
+                        .anyMatch(task -> task.run != null
+                                && task.run.worker != worker
+                                && !caution.hasSurvivedStart(task.run, nowMs));
     }
 
     /** Number of other steps with a task on the worker that has not survived its start. */
@@ -227,8 +246,9 @@
         return worker.runs.values().stream()
                 .filter(run -> run.task != null
                         && run.task.step != step
+                        && !run.task.survivedStart
                         && nowMs - run.sentAtMs < MAX_UNPROVEN_MS
-                        && !(caution.byReport() ? run.survivalReported : run.hasSurvivedStart(nowMs)))
+                        && !caution.hasSurvivedStart(run, nowMs))
                 .map(run -> run.task == null ? step : run.task.step)
                 .distinct()
                 .count();
@@ -243,7 +263,7 @@
             return unusable;
         }
         CrashRecord record = task.crashRecord();
-        Obstacle rule = ruleAgainst(step, worker, record.isSuspect() ? record : null);
+        Obstacle rule = ruleAgainst(step, worker, record.isSuspect() ? record : null, task.survivedStart);
         if (rule != Obstacle.NONE) {
             return rule;
         }
--- a/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
+++ b/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
@@ -181,6 +181,9 @@
         attribution.onPresent(run);
         if (!run.survivalReported && run.hasSurvivedStart(requestedAtMs)) {
             run.survivalReported = true;
+            if (run.task != null) {
+                run.task.survivedStart = true;
+            }
             clearSuspicion(run.task);
         }
         if (run.phase == Phase.STARTING || run.phase == Phase.UNRESOLVED) {
--- a/library/src/main/java/io/radishspindle/pool/core/RunState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/RunState.java
@@ -96,8 +96,13 @@
 
     /** Whether the run had survived its start by a certain time, and before the connections of its worker broke. */
     boolean hasSurvivedStart(long atMs) {
+        return hasSurvivedStart(atMs, PoolTiming.START_PROOF_MS);
+    }
+
+    /** As above, if a run that lasts for {@code proofMs} has survived its start. */
+    boolean hasSurvivedStart(long atMs, long proofMs) {
         long knownMs = worker.brokenAtMs < 0 ? atMs : Math.min(atMs, worker.brokenAtMs);
-        return acceptedAtMs >= 0 && knownMs - acceptedAtMs >= PoolTiming.START_PROOF_MS;
+        return acceptedAtMs >= 0 && knownMs - acceptedAtMs >= proofMs;
     }
 
     /** Whether the run is at work and has been for longer than a certain time. */
--- a/library/src/main/java/io/radishspindle/pool/core/SchedulingPass.java
+++ b/library/src/main/java/io/radishspindle/pool/core/SchedulingPass.java
@@ -141,7 +141,7 @@
                 waiting = 1;
             }
             if (waiting > 0 && !suspect) {
-                trials.onOtherWaits();
+                trials.onOtherWaits(nowMs);
             }
         }
         // Calls for advice come before stops: they cost no work.
--- a/library/src/main/java/io/radishspindle/pool/core/StepState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/StepState.java
@@ -96,6 +96,11 @@
         return doneTasks == tasks.size();
     }
 
+    /** Whether a task has shown that not all of them crash their workers. */
+    boolean hasProvenTask() {
+        return doneTasks > 0 || tasks.stream().anyMatch(task -> task.survivedStart);
+    }
+
     boolean hasRuns() {
         return tasks.stream().anyMatch(task -> task.run != null);
     }
--- a/library/src/main/java/io/radishspindle/pool/core/TaskState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/TaskState.java
@@ -35,6 +35,9 @@
     /** For the log: when the wait of the task may be reported again. */
     long reportDueMs;
 
+    /** Whether a run of the task has survived its start, as far as this owner knows. */
+    boolean survivedStart;
+
     String checkpoint = "";
     long earliestStartMs;
     /** Whether a run of the task was stopped for a task of higher priority. */
--- a/library/src/main/java/io/radishspindle/pool/core/Trials.java
+++ b/library/src/main/java/io/radishspindle/pool/core/Trials.java
@@ -23,25 +23,27 @@
     /** As above, while most of the pool is idle. */
     private static final int IDLE_TRIALS_DIVISOR = 2;
 
-    /** Part of the workers, as its inverse, that trials of likely culprits may put at risk or take down at once. */
-    private static final int CULPRITS_DIVISOR = 10;
-    /** As above, while most of the pool is idle and no suspect that is likely innocent waits. */
-    private static final int IDLE_CULPRITS_DIVISOR = 3;
-    /** Workers below which no likely culprit is tried while a suspect that is likely innocent waits. */
-    private static final int MIN_WORKERS_FOR_BOTH = 4;
+    /**
+     * Part of the workers, as its inverse, that may be down or closed for any cause, with the trial of a likely culprit
+     * among them.
+     */
+    private static final int UNAVAILABLE_DIVISOR = 10;
+    /** As above, while no other task waits. */
+    private static final int IDLE_UNAVAILABLE_DIVISOR = 5;
+
+    /** Time for which no other task has waited when a likely culprit may be tried in a small pool, in milliseconds. */
+    private static final long QUIET_MS = 1_000;
+    /** Time after which a likely culprit is tried although other tasks wait, as it may be innocent, in milliseconds. */
+    private static final long MAX_CULPRIT_WAIT_MS = 20_000;
+    /** As above, for a suspect that is likely innocent, while half of the workers are down or closed. */
+    private static final long MAX_INNOCENT_WAIT_MS = 3_000;
 
     private final Map<String, WorkerState> workers;
     private final Set<JobState> dirty;
     /** Tasks with a planned or running trial; the first task of a gang. */
     private final Set<TaskState> open = new HashSet<>();
-    /** Whether a suspect that is likely innocent waited for a worker, in this pass and in the one before. */
-    private boolean innocentWaits;
-
-    private boolean innocentWaited;
-    /** Whether a task that is no suspect waited for a worker, in this pass and in the one before. */
-    private boolean otherWaits;
-
-    private boolean otherWaited;
+    /** Time up to which trials of likely culprits give way to other tasks, as one has just waited. */
+    private long giveWayUntilMs = Long.MIN_VALUE;
 
     Trials(Map<String, WorkerState> workers, Set<JobState> dirty) {
         this.workers = workers;
@@ -62,10 +64,6 @@
 
     /** Ends trials that have been decided, and opens their workers; called before each pass. */
     void refresh(long nowMs) {
-        innocentWaited = innocentWaits;
-        innocentWaits = false;
-        otherWaited = otherWaits;
-        otherWaits = false;
         for (TaskState task : List.copyOf(open)) {
             CrashRecord record = task.crashRecord();
             if (!task.step.job.isUnfinished() || task.done || record.exposure() == null) {
@@ -97,9 +95,9 @@
                         .allMatch(run -> hasSurvived(run, nowMs));
     }
 
-    /** A task that is no suspect found no worker. */
-    void onOtherWaits() {
-        otherWaits = true;
+    /** A task that is no likely culprit found no worker. */
+    void onOtherWaits(long nowMs) {
+        giveWayUntilMs = nowMs + QUIET_MS;
     }
 
     /** Whether tasks of the step that are not suspects have to wait for the trial of one that is. */
@@ -128,8 +126,14 @@
             return false;
         }
         boolean culprit = isLikelyCulprit(task);
-        boolean granted = culprit ? hasSlotForCulprit(nowMs) : hasSlot(nowMs);
-        innocentWaits |= !culprit && !granted;
+        Availability pool = Availability.of(workers.values(), nowMs);
+        if (culprit) {
+            return hasSlotForCulprit(record, pool, nowMs);
+        }
+        boolean granted = hasSlotForInnocent(record, pool, nowMs);
+        if (!granted) {
+            onOtherWaits(nowMs);
+        }
         return granted;
     }
 
@@ -166,34 +170,69 @@
     }
 
     /** Whether the workers that trials keep closed leave enough others that are up. */
-    private boolean hasSlot(long nowMs) {
-        long up = 0;
-        long closed = 0;
-        for (WorkerState worker : workers.values()) {
-            if (worker.isUsable(nowMs)) {
-                up++;
-                closed += worker.trial.isEmpty() ? 0 : 1;
-            }
-        }
+    private boolean hasSlot(Availability pool, long nowMs) {
         long divisor = isMostlyIdle(nowMs) ? IDLE_TRIALS_DIVISOR : TRIALS_DIVISOR;
-        return closed < (up + divisor - 1) / divisor;
+        return pool.closed() < (pool.up() + divisor - 1) / divisor;
     }
 
-    /** Whether the workers that trials of likely culprits put at risk, or have taken down, leave enough others. */
-    private boolean hasSlotForCulprit(long nowMs) {
-        // Counts the registered workers that have ever answered; a wrong count changes the pace of the trials only.
-        long registered = workers.values().stream()
-                .filter(worker -> worker.listed && worker.hasEverAnswered())
-                .count();
-        if (!hasSlot(nowMs) || (innocentWaited && registered < MIN_WORKERS_FOR_BOTH)) {
-            return false;
+    /** Whether the trial of a suspect that is likely innocent may take down a worker now. */
+    private boolean hasSlotForInnocent(CrashRecord record, Availability pool, long nowMs) {
+        boolean overdue = record.isTrialOverdue(nowMs, nowMs + MAX_INNOCENT_WAIT_MS);
+        return hasSlot(pool, nowMs) && (overdue || pool.unavailable() < Math.max(1, pool.registered() / 2));
+    }
+
+    /**
+     * Whether a likely culprit may be tried: its worker will be down for seconds. It waits while too many workers are
+     * down or closed for any cause, or other tasks wait, but not for ever, as it may be innocent.
+     */
+    private boolean hasSlotForCulprit(CrashRecord record, Availability pool, long nowMs) {
+        boolean overdue = record.isTrialOverdue(nowMs, nowMs + MAX_CULPRIT_WAIT_MS);
+        long share = pool.registered() / UNAVAILABLE_DIVISOR;
+        long allowed = share;
+        if (nowMs >= giveWayUntilMs) {
+            allowed = Math.max(1, isMostlyIdle(nowMs) ? pool.registered() / IDLE_UNAVAILABLE_DIVISOR : share);
+        }
+        boolean mayTakeDown =
+                pool.unavailable() < allowed || (overdue && undecidedCulprits(nowMs) < Math.max(1, share));
+        return mayTakeDown && hasSlot(pool, nowMs);
+    }
+
+    /**
+     * The workers of the pool.
+     *
+     * @param registered addresses of those that are registered and have ever answered, as a worker that has crashed may
+     *     come back under another id while it is still registered
+     * @param up those that can be used, also if a trial has closed them
+     * @param closed those among them that a trial has closed
+     */
+    private record Availability(long registered, long up, long closed) {
+        static Availability of(Collection<WorkerState> workers, long nowMs) {
+            Set<String> addresses = new HashSet<>();
+            long up = 0;
+            long closed = 0;
+            for (WorkerState worker : workers) {
+                if (worker.listed && worker.hasEverAnswered()) {
+                    addresses.add(worker.address());
+                }
+                if (worker.isUsable(nowMs)) {
+                    up++;
+                    closed += worker.trial.isEmpty() ? 0 : 1;
+                }
+            }
+            return new Availability(addresses.size(), up, closed);
+        }
+
+        /** Workers that are down or closed, for whatever cause. */
+        long unavailable() {
+            return Math.max(0, registered - (up - closed));
         }
-        long undecided = open.stream()
+    }
+
+    private long undecidedCulprits(long nowMs) {
+        return open.stream()
                 .filter(task ->
                         isLikelyCulprit(task) && !unit(task).stream().allMatch(member -> survived(member, nowMs)))
                 .count();
-        boolean ample = !innocentWaited && !otherWaited && isMostlyIdle(nowMs);
-        return undecided < Math.max(1, registered / (ample ? IDLE_CULPRITS_DIVISOR : CULPRITS_DIVISOR));
     }
 
     /** Whether less than half of what the usable workers have is in use, so that trials harm few others. */
--- a/library/src/test/java/io/radishspindle/pool/core/GuardMix.java
+++ b/library/src/test/java/io/radishspindle/pool/core/GuardMix.java
@@ -1,6 +1,7 @@
 package io.radishspindle.pool.core;
 
 import io.radishspindle.model.Resources;
+import io.radishspindle.pool.model.JobPhase;
 import io.radishspindle.pool.model.PoolJob;
 import io.radishspindle.pool.model.StepSpec;
 import java.util.ArrayList;
@@ -39,6 +40,9 @@
     final PoolSimulation pool;
     final LostRule rule;
     final List<String> soundJobs = new ArrayList<>();
+    /** Sound jobs that had not ended {@link #FINISH_MS} after the traffic. */
+    final List<String> openAtCheck = new ArrayList<>();
+
     private final Trouble trouble;
     private final int workers;
     private final UniformRandomProvider random;
@@ -81,6 +85,7 @@
         sick.forEach(worker -> worker.failsStarts = false);
         submitForEachWorker();
         tickUntil(trafficEndMs + FINISH_MS);
+        soundJobs.stream().filter(this::isOpen).forEach(openAtCheck::add);
         rule.beginAnew();
         tickUntil(trafficEndMs + FINISH_MS + CHECK_MS);
     }
@@ -90,6 +95,11 @@
         return sick.stream().map(worker -> worker.startsWhileFailing).toList();
     }
 
+    private boolean isOpen(String jobId) {
+        return !jobId.startsWith("lasting")
+                && pool.phase(jobId).filter(JobPhase::isFinal).isEmpty();
+    }
+
     private boolean has(Trouble kind) {
         return trouble == kind || trouble == Trouble.ALL;
     }
--- a/library/src/test/java/io/radishspindle/pool/core/SoundTasksBesideRoomTest.java
+++ b/library/src/test/java/io/radishspindle/pool/core/SoundTasksBesideRoomTest.java
@@ -18,6 +18,8 @@
 class SoundTasksBesideRoomTest {
     private static final boolean CLOSED = false;
     private static final boolean SILENT = true;
+    /** Sound jobs for each one that may be open 14 s after the traffic. */
+    private static final int MAX_OPEN_INVERSE = 50;
 
     /** Seeds of the test; {@code -Dpool.seeds=first-last} selects another range. */
     private static LongStream seeds() {
@@ -36,7 +38,7 @@
                         mixes(Trouble.DEADLY, SILENT, 1, 2, 4),
                         mixes(Trouble.HOPELESS, CLOSED, 1, 2, 4, 7),
                         mixes(Trouble.SICK_WORKERS, CLOSED, 1, 2, 4, 7),
-                        mixes(Trouble.ALL, CLOSED, 1, 2))
+                        mixes(Trouble.ALL, CLOSED, 1, 2, 4, 7))
                 .flatMap(mix -> mix);
     }
 
@@ -46,15 +48,34 @@
         playAndCheck(trouble, workers, silent, seed);
     }
 
-    static Stream<Arguments> harsherMixes() {
+    static Stream<Arguments> mixesThatEnd() {
         return Stream.of(
-                        mixes(Trouble.DEADLY, SILENT, 7),
+                        mixes(Trouble.DEADLY, CLOSED, 4, 6, 7),
                         mixes(Trouble.ALL, CLOSED, 4, 7),
-                        mixes(Trouble.ALL, SILENT, 1, 2, 4, 7))
+                        mixes(Trouble.SICK_WORKERS, CLOSED, 4))
+                .flatMap(mix -> mix);
+    }
+
+    /** Guards against sound jobs that are open 14 s after the traffic, as repeated crashes of known jobs take the room. */
+    @ParameterizedTest
+    @MethodSource("mixesThatEnd")
+    void should_end_sound_jobs_beside_jobs_that_crash_workers(Trouble trouble, int workers, boolean silent, long seed) {
+        // given
+        GuardMix mix = new GuardMix(trouble, workers, seed, silent);
+
+        // when
+        mix.run();
+
+        // then
+        assertThat(mix.openAtCheck).hasSizeLessThanOrEqualTo(mix.soundJobs.size() / MAX_OPEN_INVERSE);
+    }
+
+    static Stream<Arguments> harsherMixes() {
+        return Stream.of(mixes(Trouble.DEADLY, SILENT, 7), mixes(Trouble.ALL, SILENT, 1, 2, 4, 7))
                 .flatMap(mix -> mix);
     }
 
-    /** Crashes at such a rate leave few workers, on which suspects wait for trials. */
+    /** Silent crashes at such a rate leave few workers, on which suspects wait for trials. */
     @Tag("known-red")
     @ParameterizedTest
     @MethodSource("harsherMixes")
