Proof of steps and the count of workers are kept, not recounted

Cause: reading the change before, for each task and worker a step's tasks were gone through, and each suspect counted all workers, which is slow for wide steps and large pools; a start without an answer could keep its step from all other workers for as long as it lasts; a query changed when a trial is overdue.

--- a/library/src/main/java/io/radishspindle/pool/core/CrashAttribution.java
+++ b/library/src/main/java/io/radishspindle/pool/core/CrashAttribution.java
@@ -182,7 +182,7 @@
         if (worker.brokenOff) {
             runs.stream()
                     .filter(run -> run.task != null && run.hasSurvivedStart(atMs))
-                    .forEach(run -> run.task.survivedStart = true);
+                    .forEach(run -> run.task.onSurvivedStart());
             candidates = candidates.narrowed(delays);
             // Beside other causes, a run that was left out may be to blame, or none.
             boolean leftOut = candidates.suspects().size() < youngCount;
--- a/library/src/main/java/io/radishspindle/pool/core/CrashDelays.java
+++ b/library/src/main/java/io/radishspindle/pool/core/CrashDelays.java
@@ -5,7 +5,7 @@
 import java.util.Deque;
 
 /**
- * How long after the start of a task its worker crashes, learned from crashes for which nothing else can be to blame.
+ * How long after the start of a task its worker crashes, learned from crashes whose suspects were started together.
  * Belongs to its scheduler; not thread-safe.
  *
  * <p>Invariant: the bound exceeds each kept delay, and is at most {@link PoolTiming#START_PROOF_MS}.
--- a/library/src/main/java/io/radishspindle/pool/core/CrashRecord.java
+++ b/library/src/main/java/io/radishspindle/pool/core/CrashRecord.java
@@ -118,6 +118,7 @@
     void onOthersCleared(int attempt) {
         Crash crash = byAttempt.get(attempt);
         if (crash != null) {
+            trialDueMs = NOT_WANTED;
             byAttempt.put(attempt, new Crash(attempt, crash.worker(), crash.address(), true, false));
         }
     }
@@ -185,14 +186,14 @@
         trialDueMs = NOT_WANTED;
     }
 
-    /**
-     * Whether a trial that is wanted now has been wanted for too long.
-     *
-     * @param dueMs when it is overdue if it wasn't wanted before
-     */
-    boolean isTrialOverdue(long nowMs, long dueMs) {
+    /** @param dueMs when the trial is overdue if it wasn't wanted before */
+    void onTrialWanted(long dueMs) {
         trialDueMs = trialDueMs == NOT_WANTED ? dueMs : trialDueMs;
-        return nowMs >= trialDueMs;
+    }
+
+    /** Whether a trial has been wanted for too long. */
+    boolean isTrialOverdue(long nowMs) {
+        return trialDueMs != NOT_WANTED && nowMs >= trialDueMs;
     }
 
     /** Whether a trial may be planned. */
--- a/library/src/main/java/io/radishspindle/pool/core/CrashSuspects.java
+++ b/library/src/main/java/io/radishspindle/pool/core/CrashSuspects.java
@@ -91,7 +91,7 @@
 
     /** Leaves out the tasks of which an earlier run has survived its start, if others remain. */
     CrashSuspects withoutProven() {
-        return narrowed(suspect -> !suspect.task().survivedStart);
+        return narrowed(suspect -> !suspect.task().hasSurvivedStart());
     }
 
     /** Leaves out the steps whose runs were older or younger than in earlier crashes, if others remain. */
--- a/library/src/main/java/io/radishspindle/pool/core/Placer.java
+++ b/library/src/main/java/io/radishspindle/pool/core/Placer.java
@@ -154,7 +154,7 @@
     }
 
     private boolean mayRun(TaskState task, WorkerState worker) {
-        return ruleAgainst(task.step, worker, null, task.survivedStart) == Obstacle.NONE;
+        return ruleAgainst(task.step, worker, null, task.hasSurvivedStart()) == Obstacle.NONE;
     }
 
     /** @param suspect whose trial would start on the worker; null for another start */
@@ -232,23 +232,29 @@
                                 && ruleAgainst(step, room.worker, null, false) == Obstacle.UNPROVEN_STARTS);
     }
 
-    /** Whether a step of which no task has survived its start has a run on another worker: one is at risk at a time. */
+    /**
+     * Whether a step of which no task has survived its start has started one on another worker: it puts one at risk at
+     * a time.
+     */
     private boolean isBeingProvenElsewhere(StepState step, WorkerState worker) {
-        return !step.hasProvenTask()
-                && step.tasks.stream()
-                        .anyMatch(task -> task.run != null
-                                && task.run.worker != worker
-                                && !caution.hasSurvivedStart(task.run, nowMs));
+        RunState run = step.lastStarted;
+        return run != null
+                && run.worker != worker
+                && !step.isProven()
+                && run.task != null
+                && run.task.run == run
+                && isUnproven(run);
+    }
+
+    private boolean isUnproven(RunState run) {
+        return nowMs - run.sentAtMs < MAX_UNPROVEN_MS && !caution.hasSurvivedStart(run, nowMs);
     }
 
     /** Number of other steps with a task on the worker that has not survived its start. */
     private long unprovenSteps(WorkerState worker, StepState step) {
         return worker.runs.values().stream()
-                .filter(run -> run.task != null
-                        && run.task.step != step
-                        && !run.task.survivedStart
-                        && nowMs - run.sentAtMs < MAX_UNPROVEN_MS
-                        && !caution.hasSurvivedStart(run, nowMs))
+                .filter(run ->
+                        run.task != null && run.task.step != step && !run.task.hasSurvivedStart() && isUnproven(run))
                 .map(run -> run.task == null ? step : run.task.step)
                 .distinct()
                 .count();
@@ -263,7 +269,7 @@
             return unusable;
         }
         CrashRecord record = task.crashRecord();
-        Obstacle rule = ruleAgainst(step, worker, record.isSuspect() ? record : null, task.survivedStart);
+        Obstacle rule = ruleAgainst(step, worker, record.isSuspect() ? record : null, task.hasSurvivedStart());
         if (rule != Obstacle.NONE) {
             return rule;
         }
--- a/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
+++ b/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
@@ -182,7 +182,7 @@
         if (!run.survivalReported && run.hasSurvivedStart(requestedAtMs)) {
             run.survivalReported = true;
             if (run.task != null) {
-                run.task.survivedStart = true;
+                run.task.onSurvivedStart();
             }
             clearSuspicion(run.task);
         }
--- a/library/src/main/java/io/radishspindle/pool/core/SchedulingPass.java
+++ b/library/src/main/java/io/radishspindle/pool/core/SchedulingPass.java
@@ -248,6 +248,7 @@
         RunState run = new RunState(
                 new Run(task.name, attempt), worker, step.spec.reserved(), task, step.job.job.tenant(), nowMs);
         task.run = run;
+        step.lastStarted = run;
         task.waitsSinceMs = TaskState.NOT_WAITING;
         if (task.lastAttempt == 0) {
             step.lastFirstStartMs = nowMs;
--- a/library/src/main/java/io/radishspindle/pool/core/StepState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/StepState.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The state of one step in one occurrence of a job. Belongs to its scheduler; not thread-safe.
@@ -40,6 +41,12 @@
     /** Workers have crashed under tasks of the step. */
     boolean hasCrashRecords;
 
+    /** A run of some task has survived its start. */
+    boolean hasSurvivor;
+    /** The run that this owner started last. */
+    @Nullable
+    RunState lastStarted;
+
     int doneTasks;
     int highestAttempt;
     long readySinceMs = -1;
@@ -97,8 +104,8 @@
     }
 
     /** Whether a task has shown that not all of them crash their workers. */
-    boolean hasProvenTask() {
-        return doneTasks > 0 || tasks.stream().anyMatch(task -> task.survivedStart);
+    boolean isProven() {
+        return doneTasks > 0 || hasSurvivor;
     }
 
     boolean hasRuns() {
--- a/library/src/main/java/io/radishspindle/pool/core/TaskState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/TaskState.java
@@ -35,8 +35,7 @@
     /** For the log: when the wait of the task may be reported again. */
     long reportDueMs;
 
-    /** Whether a run of the task has survived its start, as far as this owner knows. */
-    boolean survivedStart;
+    private boolean survivedStart;
 
     String checkpoint = "";
     long earliestStartMs;
@@ -59,6 +58,16 @@
         return step.spec.gang() ? step.tasks.get(0).crashes : crashes;
     }
 
+    /** Whether a run of the task has survived its start, as far as this owner knows. */
+    boolean hasSurvivedStart() {
+        return survivedStart;
+    }
+
+    void onSurvivedStart() {
+        survivedStart = true;
+        step.hasSurvivor = true;
+    }
+
     boolean isWaiting() {
         return !done && run == null;
     }
--- a/library/src/main/java/io/radishspindle/pool/core/Trials.java
+++ b/library/src/main/java/io/radishspindle/pool/core/Trials.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Keeps track of the trials of suspects: tasks under which workers have crashed. A worker with a trial is closed to
@@ -13,9 +14,9 @@
  * has just been started. Belongs to its scheduler; not thread-safe.
  *
  * <p>Invariants: while no task of a step has survived its start, one suspect of the step is tried at a time; however
- * many suspects there are, their trials leave other tasks half of the workers that are up, unless only one is. A worker
- * that a trial has taken down counts against further trials of likely culprits only, so that a suspect that is likely
- * innocent waits for nothing but a worker that is up.
+ * many suspects there are, their trials leave other tasks half of the workers that are up, unless only one is. While
+ * other tasks wait, a likely culprit is tried only if few workers are down or closed for any cause, or if it has waited
+ * for {@link #MAX_CULPRIT_WAIT_MS}, one or a tenth of the pool of these at a time.
  */
 final class Trials {
     /** Part of the workers that are up, as its inverse, that trials may close at once. */
@@ -42,6 +43,8 @@
     private final Set<JobState> dirty;
     /** Tasks with a planned or running trial; the first task of a gang. */
     private final Set<TaskState> open = new HashSet<>();
+    /** In this pass, since the last plan; null if it has not been needed. */
+    private @Nullable Availability availability;
     /** Time up to which trials of likely culprits give way to other tasks, as one has just waited. */
     private long giveWayUntilMs = Long.MIN_VALUE;
 
@@ -52,6 +55,7 @@
 
     /** Closes the workers of a trial. */
     void onPlanned(TaskState task, Collection<WorkerState> places, long nowMs) {
+        availability = null;
         open.add(first(task));
         places.forEach(worker -> worker.trial.begin(task.crashRecord(), nowMs));
     }
@@ -64,6 +68,7 @@
 
     /** Ends trials that have been decided, and opens their workers; called before each pass. */
     void refresh(long nowMs) {
+        availability = null;
         for (TaskState task : List.copyOf(open)) {
             CrashRecord record = task.crashRecord();
             if (!task.step.job.isUnfinished() || task.done || record.exposure() == null) {
@@ -126,7 +131,10 @@
             return false;
         }
         boolean culprit = isLikelyCulprit(task);
-        Availability pool = Availability.of(workers.values(), nowMs);
+        if (availability == null) {
+            availability = Availability.of(workers.values(), nowMs);
+        }
+        Availability pool = availability;
         if (culprit) {
             return hasSlotForCulprit(record, pool, nowMs);
         }
@@ -177,7 +185,8 @@
 
     /** Whether the trial of a suspect that is likely innocent may take down a worker now. */
     private boolean hasSlotForInnocent(CrashRecord record, Availability pool, long nowMs) {
-        boolean overdue = record.isTrialOverdue(nowMs, nowMs + MAX_INNOCENT_WAIT_MS);
+        record.onTrialWanted(nowMs + MAX_INNOCENT_WAIT_MS);
+        boolean overdue = record.isTrialOverdue(nowMs);
         return hasSlot(pool, nowMs) && (overdue || pool.unavailable() < Math.max(1, pool.registered() / 2));
     }
 
@@ -186,7 +195,8 @@
      * down or closed for any cause, or other tasks wait, but not for ever, as it may be innocent.
      */
     private boolean hasSlotForCulprit(CrashRecord record, Availability pool, long nowMs) {
-        boolean overdue = record.isTrialOverdue(nowMs, nowMs + MAX_CULPRIT_WAIT_MS);
+        record.onTrialWanted(nowMs + MAX_CULPRIT_WAIT_MS);
+        boolean overdue = record.isTrialOverdue(nowMs);
         long share = pool.registered() / UNAVAILABLE_DIVISOR;
         long allowed = share;
         if (nowMs >= giveWayUntilMs) {
