A likely innocent suspect waits for other workers only while others wait

Callers would have seen: a task whose worker crashed waits for 3 s in a pool of two, of which one is down, although nothing else waits.

Cause: the bound of half of the workers held in quiet pools too.

Change: the bound holds while a task that is no suspect has waited within 1 s.

--- a/library/src/main/java/io/radishspindle/pool/core/Trials.java
+++ b/library/src/main/java/io/radishspindle/pool/core/Trials.java
@@ -47,6 +47,8 @@
     private @Nullable Availability availability;
     /** Time up to which trials of likely culprits give way to other tasks, as one has just waited. */
     private long giveWayUntilMs = Long.MIN_VALUE;
+    /** Time up to which all trials give way to tasks that are no suspects. */
+    private long allGiveWayUntilMs = Long.MIN_VALUE;
 
     Trials(Map<String, WorkerState> workers, Set<JobState> dirty) {
         this.workers = workers;
@@ -100,8 +102,9 @@
                         .allMatch(run -> hasSurvived(run, nowMs));
     }
 
-    /** A task that is no likely culprit found no worker. */
+    /** A task that is no suspect found no worker. */
     void onOtherWaits(long nowMs) {
+        allGiveWayUntilMs = nowMs + QUIET_MS;
         giveWayUntilMs = nowMs + QUIET_MS;
     }
 
@@ -140,7 +143,7 @@
         }
         boolean granted = hasSlotForInnocent(record, pool, nowMs);
         if (!granted) {
-            onOtherWaits(nowMs);
+            giveWayUntilMs = nowMs + QUIET_MS;
         }
         return granted;
     }
@@ -187,7 +190,8 @@
     private boolean hasSlotForInnocent(CrashRecord record, Availability pool, long nowMs) {
         record.onTrialWanted(nowMs + MAX_INNOCENT_WAIT_MS);
         boolean overdue = record.isTrialOverdue(nowMs);
-        return hasSlot(pool, nowMs) && (overdue || pool.unavailable() < Math.max(1, pool.registered() / 2));
+        boolean quiet = nowMs >= allGiveWayUntilMs;
+        return hasSlot(pool, nowMs) && (quiet || overdue || pool.unavailable() < Math.max(1, pool.registered() / 2));
     }
 
     /**
