--- a/library/src/test/java/io/radishspindle/pool/core/SoundTasksBesideRoomTest.java
+++ b/library/src/test/java/io/radishspindle/pool/core/SoundTasksBesideRoomTest.java
@@ -56,7 +56,7 @@
                 .flatMap(mix -> mix);
     }
 
-    /** Guards against sound jobs that are open 14 s after the traffic, as repeated crashes of known jobs take the room. */
+    /** Guards against repeated crashes of known jobs that leave sound jobs open 14 s after the traffic. */
     @ParameterizedTest
     @MethodSource("mixesThatEnd")
     void should_end_sound_jobs_beside_jobs_that_crash_workers(Trouble trouble, int workers, boolean silent, long seed) {
