Likely culprits are tried sooner in an idle pool, and where no other run is lost

Cause: since a likely culprit waits for up to 20 s, and then for the culprits before it, one at a time in a pool of eight, although nothing else waits and most of the pool is idle. A second cause by reading and simulation: the trial of a task without accelerators took no account of what runs on a worker that has accelerators, so that trials took down workers with runs while others were empty.

Change: while most of the pool is idle, a third of the registered workers, rounded up, may be down or closed for such a trial if nothing has waited for 1 s, or if the culprit is overdue. Trials weigh the share of any resource that is in use.

Suspects with shared blame before those with sole blame: no gain. Culprits overdue after 10 s: more sound jobs open. A fifth and a quarter of an idle pool: the last deadly job ends as late as before.

--- a/library/src/main/java/io/radishspindle/pool/core/PlacementScore.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PlacementScore.java
@@ -8,6 +8,9 @@
     /** Granularity of capacity in the score: workers that differ by less count as equal. */
     private static final double CAPACITY_STEP = 0.05;
 
+    /** Outweighs that tasks prefer workers on which others run. */
+    private static final double LOSS_WEIGHT = 4;
+
     private final long largestMilliCores;
     private final int largestAccelerators;
 
@@ -47,10 +50,23 @@
 
     /** Prefers workers on which little is lost if they crash, and others than those that have crashed before. */
     double ofTrial(TaskState task, WorkerState worker) {
-        double score = of(task, worker) + 2 * usedShare(worker);
+        double score = of(task, worker) + LOSS_WEIGHT * usedShareOfAnyResource(worker);
         return task.crashRecord().crashedAt(worker.address()) ? score + 5 : score;
     }
 
+    /** Unlike {@link #usedShare}, also what tasks without accelerators use of a worker that has some. */
+    private static double usedShareOfAnyResource(WorkerState worker) {
+        Resources used = worker.used;
+        Resources capacity = worker.entry.capacity();
+        double cores = share(used.milliCores(), capacity.milliCores());
+        double memory = share(used.memoryMib(), capacity.memoryMib());
+        return Math.max(Math.max(cores, memory), share(used.accelerators(), capacity.accelerators()));
+    }
+
+    private static double share(long used, long capacity) {
+        return capacity == 0 ? 0 : (double) used / capacity;
+    }
+
     private static double usedShare(WorkerState worker) {
         Resources capacity = worker.entry.capacity();
         if (capacity.accelerators() > 0) {
--- a/library/src/main/java/io/radishspindle/pool/core/Trials.java
+++ b/library/src/main/java/io/radishspindle/pool/core/Trials.java
@@ -16,7 +16,7 @@
  * <p>Invariants: while no task of a step has survived its start, one suspect of the step is tried at a time; however
  * many suspects there are, their trials leave other tasks half of the workers that are up, unless only one is. While
  * other tasks wait, a likely culprit is tried only if few workers are down or closed for any cause, or if it has waited
- * for {@link #MAX_CULPRIT_WAIT_MS}, one or a tenth of the pool of these at a time.
+ * for {@link #MAX_CULPRIT_WAIT_MS}; then one or a tenth of the pool of these at a time, or a third of an idle pool.
  */
 final class Trials {
     /** Part of the workers that are up, as its inverse, that trials may close at once. */
@@ -29,8 +29,8 @@
      * among them.
      */
     private static final int UNAVAILABLE_DIVISOR = 10;
-    /** As above, while no other task waits. */
-    private static final int IDLE_UNAVAILABLE_DIVISOR = 5;
+    /** As above, while most of the pool is idle and no other task waits; rounded up. */
+    private static final int IDLE_UNAVAILABLE_DIVISOR = 3;
 
     /** Time for which no other task has waited when a likely culprit may be tried in a small pool, in milliseconds. */
     private static final long QUIET_MS = 1_000;
@@ -201,13 +201,13 @@
     private boolean hasSlotForCulprit(CrashRecord record, Availability pool, long nowMs) {
         record.onTrialWanted(nowMs + MAX_CULPRIT_WAIT_MS);
         boolean overdue = record.isTrialOverdue(nowMs);
+        boolean quiet = nowMs >= giveWayUntilMs;
         long share = pool.registered() / UNAVAILABLE_DIVISOR;
-        long allowed = share;
-        if (nowMs >= giveWayUntilMs) {
-            allowed = Math.max(1, isMostlyIdle(nowMs) ? pool.registered() / IDLE_UNAVAILABLE_DIVISOR : share);
-        }
-        boolean mayTakeDown =
-                pool.unavailable() < allowed || (overdue && undecidedCulprits(nowMs) < Math.max(1, share));
+        long shareIfQuiet = isMostlyIdle(nowMs)
+                ? (pool.registered() + IDLE_UNAVAILABLE_DIVISOR - 1) / IDLE_UNAVAILABLE_DIVISOR
+                : Math.max(1, share);
+        boolean mayTakeDown = pool.unavailable() < (quiet ? shareIfQuiet : share)
+                || (overdue && undecidedCulprits(nowMs) < shareIfQuiet);
         return mayTakeDown && hasSlot(pool, nowMs);
     }
 
--- a/library/src/test/java/io/radishspindle/pool/core/CrashingTaskTest.java
+++ b/library/src/test/java/io/radishspindle/pool/core/CrashingTaskTest.java
@@ -61,8 +61,12 @@
     }
 
     private static PoolSimulation pool(long seed) {
+        return pool(seed, WORKERS);
+    }
+
+    private static PoolSimulation pool(long seed, int workers) {
         PoolSimulation pool = new PoolSimulation(seed);
-        for (int i = 0; i < WORKERS; i++) {
+        for (int i = 0; i < workers; i++) {
             pool.addWorker("w" + i, new Resources(16_000, 32_000, 8), "r" + i / 3);
         }
         pool.crashesWorker = CrashingTaskTest::isDeadly;
@@ -195,6 +199,48 @@
         assertOnlyDeadlyJobsFailed(pool, 8);
     }
 
+    /** Guards against suspects that wait for trials in an idle pool, so that jobs are open 14 s after the traffic. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+    void should_give_up_jobs_that_crash_workers_within_14_s_in_an_idle_pool(long seed) {
+        // given
+        PoolSimulation pool = pool(seed, 8);
+        pool.runUntil(2_000);
+        for (int i = 0; i < 8; i++) {
+            pool.submit(SimJobs.job("deadly" + i, 0, pool.nowMs, SimJobs.step(3, 1_500, 0, 700)));
+            pool.runUntil(pool.nowMs + 500);
+        }
+        pool.submit(SimJobs.job("sound", 0, pool.nowMs, SimJobs.step(12, 1_500, 0, 8_000)));
+
+        // when
+        pool.runUntil(pool.nowMs + 14_000);
+
+        // then
+        assertOnlyDeadlyJobsFailed(pool, 8);
+    }
+
+    /** Guards against trials beside other runs, which are lost with the worker, while workers without runs are up. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void should_try_a_suspect_where_no_other_run_is_lost(long seed) {
+        // given
+        int tasks = 24;
+        PoolSimulation pool = pool(seed, 6);
+        pool.runUntil(2_000);
+        pool.submit(SimJobs.job("sound", 0, pool.nowMs, SimJobs.step(tasks, 1_500, 0, 9_000)));
+        pool.runUntil(pool.nowMs + 1_000);
+        assertThat(pool.history.starts).isEqualTo(tasks);
+
+        // when
+        pool.submit(SimJobs.job("deadly", 0, pool.nowMs, SimJobs.step(1, 1_500, 0, 700)));
+        pool.runUntil(pool.nowMs + 200);
+        int bystanders = tasks - pool.history.runningTasks();
+        pool.runUntil(END_MS);
+
+        // then
+        assertThat(pool.history.starts).isEqualTo(tasks + pool.history.crashes() + bystanders);
+    }
+
     /** Other causes by which workers are lost. */
     enum OtherCause {
         RACK(pool -> pool.workersOfRack("r" + pool.random().nextInt(4)).forEach(pool::crash)),
--- a/library/src/test/java/io/radishspindle/pool/core/SimHistory.java
+++ b/library/src/test/java/io/radishspindle/pool/core/SimHistory.java
@@ -86,6 +86,10 @@
         return !running.getOrDefault(task, Set.of()).isEmpty();
     }
 
+    int runningTasks() {
+        return (int) running.values().stream().filter(workers -> !workers.isEmpty()).count();
+    }
+
     void ended(Run run, String worker, RunEnd end) {
         running.getOrDefault(run.task(), Set.of()).remove(worker);
         if (end == RunEnd.DONE) {
