--- a/library/src/main/java/io/radishspindle/pool/core/PlacementScore.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PlacementScore.java
@@ -11,6 +11,9 @@
     /** Outweighs that tasks prefer workers on which others run. */
     private static final double LOSS_WEIGHT = 4;
 
+    /** Costs less than a worker a quarter of which is in use, as the runs there would be lost. */
+    private static final double CRASHED_BEFORE_PENALTY = 1;
+
     private final long largestMilliCores;
     private final int largestAccelerators;
 
@@ -48,10 +51,10 @@
         return score;
     }
 
-    /** Prefers workers on which little is lost if they crash, and others than those that have crashed before. */
+    /** Prefers workers on which little is lost if they crash, then others than those that have crashed before. */
     double ofTrial(TaskState task, WorkerState worker) {
         double score = of(task, worker) + LOSS_WEIGHT * usedShareOfAnyResource(worker);
-        return task.crashRecord().crashedAt(worker.address()) ? score + 5 : score;
+        return task.crashRecord().crashedAt(worker.address()) ? score + CRASHED_BEFORE_PENALTY : score;
     }
 
     /** Unlike {@link #usedShare}, also what tasks without accelerators use of a worker that has some. */
--- a/library/src/test/java/io/radishspindle/pool/core/CrashingTaskTest.java
+++ b/library/src/test/java/io/radishspindle/pool/core/CrashingTaskTest.java
@@ -241,6 +241,28 @@
         assertThat(pool.history.starts).isEqualTo(tasks + pool.history.crashes() + bystanders);
     }
 
+    /** Guards against sound jobs whose runs are lost over and over, as suspects avoid the workers that they crashed. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+    void should_rather_try_a_suspect_where_it_crashed_a_worker_than_beside_other_runs(long seed) {
+        // given runs on all workers but the one that has crashed under the suspect
+        int tasks = 3;
+        PoolSimulation pool = pool(seed, tasks + 1);
+        pool.returnsUnderItsId = true;
+        pool.runUntil(2_000);
+        pool.submit(SimJobs.job("deadly", 0, pool.nowMs, SimJobs.step(1, 1_500, 0, 700)));
+        pool.runUntil(pool.nowMs + 400);
+        assertThat(pool.history.crashes()).isEqualTo(1);
+        pool.submit(SimJobs.job("sound", 0, pool.nowMs, SimJobs.step(tasks, 9_000, 0, 9_000)));
+
+        // when
+        pool.runUntil(END_MS);
+
+        // then
+        assertOnlyDeadlyJobsFailed(pool, 1);
+        assertThat(pool.history.starts).isEqualTo(tasks + pool.history.crashes());
+    }
+
     /** Other causes by which workers are lost. */
     enum OtherCause {
         RACK(pool -> pool.workersOfRack("r" + pool.random().nextInt(4)).forEach(pool::crash)),
