A crash under an earlier owner may have had another cause

Cause: the task alone was left for one crash, by chance. The second was that of a worker with a planned trial, lost with the owner. The next owner didn't know whether others were lost at the same moment, and took it for a crash without another cause, so that two were enough.

Change: after a crash that an owner judges by the records of an earlier one, three crashes are needed for a minute, as after one with another cause.

The other tests of crashes pass.

--- a/library/src/main/java/io/radishspindle/pool/core/CrashAttribution.java
+++ b/library/src/main/java/io/radishspindle/pool/core/CrashAttribution.java
@@ -364,7 +364,8 @@
         boolean sole = closed
                 && CrashSuspects.areOfOneStep(loss.suspects())
                 && loss.suspects().stream().allMatch(Suspect::prompt);
-        if (common || loss.suspects().isEmpty()) {
+        if (common || loss.suspects().isEmpty() || loss.atMs() == INHERITED) {
+            // Under an earlier owner others may have been lost at the same moment.
             lastOtherCauseMs = nowMs;
         }
         if (loss.silent() && !loss.suspects().isEmpty() && loss.atMs() != INHERITED) {
