--- a/library/src/test/java/io/radishspindle/pool/core/SimHistory.java
+++ b/library/src/test/java/io/radishspindle/pool/core/SimHistory.java
@@ -87,7 +87,8 @@
     }
 
     int runningTasks() {
-        return (int) running.values().stream().filter(workers -> !workers.isEmpty()).count();
+        return (int)
+                running.values().stream().filter(workers -> !workers.isEmpty()).count();
     }
 
     void ended(Run run, String worker, RunEnd end) {
--- a/library/src/test/java/io/radishspindle/pool/core/TrialOfEarlierOwnerTest.java
+++ b/library/src/test/java/io/radishspindle/pool/core/TrialOfEarlierOwnerTest.java
@@ -3,12 +3,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.radishspindle.pool.model.JobPhase;
-import io.radishspindle.pool.model.JobProgress.StepProgress;
 import io.radishspindle.pool.model.JobProgress;
+import io.radishspindle.pool.model.JobProgress.StepProgress;
+import io.radishspindle.pool.model.TaskCrashes;
 import io.radishspindle.pool.model.TaskCrashes.Crash;
 import io.radishspindle.pool.model.TaskCrashes.Exposure;
 import io.radishspindle.pool.model.TaskCrashes.Place;
-import io.radishspindle.pool.model.TaskCrashes;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
