A run is suspect however soon after its start a worker crashed

Cause: once the delay of crashes is learned, runs younger than half of the shortest delay were left out. The age is reckoned from when the owner learned that the start was accepted to when it noticed the crash, so that it varies by the time of a call, more than short delays do.

Change: learned delays have an upper bound only.

--- a/library/src/main/java/io/radishspindle/pool/core/CrashDelays.java
+++ b/library/src/main/java/io/radishspindle/pool/core/CrashDelays.java
@@ -17,8 +17,6 @@
     private static final int MAX_KEPT = 16;
     /** Time after which a crash is noticed at the latest, in milliseconds: the next hold may not have been sent yet. */
     private static final long NOTICE_MS = PoolTiming.ACK_RETRY_MS;
-    /** Delays may be shorter than the shortest one that is known, by this factor. */
-    private static final int SHORTEST_DIVISOR = 2;
 
     private final Deque<Long> delaysMs = new ArrayDeque<>();
 
@@ -31,8 +29,8 @@
 
     /** Whether a run of this age may have taken down its worker by its start. */
     boolean agreesWith(long ageMs) {
-        return delaysMs.size() < MIN_KEPT
-                || (ageMs <= boundMs() && ageMs >= Collections.min(delaysMs) / SHORTEST_DIVISOR);
+        // A run looks younger than it is if its acceptance was noticed late.
+        return delaysMs.size() < MIN_KEPT || ageMs <= boundMs();
     }
 
     /** Age in milliseconds from which on a run is not expected to crash its worker by its start. */
--- a/library/src/test/java/io/radishspindle/pool/core/SoundTasksBesideRoomTest.java
+++ b/library/src/test/java/io/radishspindle/pool/core/SoundTasksBesideRoomTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against sound tasks that wait beside room since a guard against deadly tasks, failing tasks or sick workers
@@ -70,6 +71,13 @@
         assertThat(mix.openAtCheck).hasSizeLessThanOrEqualTo(mix.soundJobs.size() / MAX_OPEN_INVERSE);
     }
 
+    /** Guards against sound jobs that are blamed since the run at fault was younger than in the crashes before. */
+    @ParameterizedTest
+    @ValueSource(longs = {12, 15, 27, 39})
+    void should_not_keep_sound_jobs_waiting_whose_runs_were_older_than_the_one_at_fault(long seed) {
+        playAndCheck(Trouble.DEADLY, 6, CLOSED, seed);
+    }
+
     static Stream<Arguments> harsherMixes() {
         return Stream.of(mixes(Trouble.DEADLY, SILENT, 7), mixes(Trouble.ALL, SILENT, 1, 2, 4, 7))
                 .flatMap(mix -> mix);
