--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolNode.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolNode.java
@@ -188,6 +188,16 @@
         return config != null && controlWatch.isListed();
     }
 
+    /** Whether the configuration in force is known to be the newest one, up to the last moments. */
+    public boolean hasCurrentConfig() {
+        return hasFreshConfig();
+    }
+
+    /** How long ago the configuration in force was last known to be the newest one, in milliseconds. */
+    public long configAgeMs() {
+        return clock.nowMs() - configWatch.lastSuccessMs();
+    }
+
     private boolean hasFreshConfig() {
         return config != null && clock.nowMs() - configWatch.lastSuccessMs() < CONFIG_MAX_AGE_MS;
     }
@@ -372,6 +382,12 @@
         return Failure.retryable(ErrorCode.NOT_READY, "entry.route", "", "no configuration of the pool yet", 1_000);
     }
 
+    /** Failure returned by a VM whose configuration may be outdated, where a newer one may have another result. */
+    public static Failure outdatedConfig() {
+        return Failure.retryable(
+                ErrorCode.NOT_READY, "entry.route", "", "the configuration of this VM may be outdated", 1_000);
+    }
+
     /** Applies the operators' configuration. */
     private final class ConfigListener implements PrefixWatch.Listener {
         @Override
