Reads of the store go on while their answers arrive

In the logs of the incident, 63 of 150 losses of the store are those of the configuration: 19 listings without a complete answer in 1,200 ms, 44 watches in 2,100 ms.

Cause: a fixed limit for the whole of a transfer whose size users choose. A read that takes longer is given up and begun again, so that the bytes already sent are lost, and the repetition adds to the load that made it slow.

--- a/library/src/main/java/io/radishspindle/pool/port/SharedStore.java
+++ b/library/src/main/java/io/radishspindle/pool/port/SharedStore.java
@@ -44,6 +44,12 @@
     /** Checks with a small read whether the store answers within {@code timeoutMs} milliseconds. */
     Future<Either<Failure, Boolean>> probe(long timeoutMs);
 
+    /**
+     * Sets the listener that is run whenever a part of the answer to a successful read arrives, complete or not. It
+     * replaces an earlier one.
+     */
+    void onPartialAnswer(Runnable listener);
+
     /** Reads a key; empty if it does not exist. */
     Future<Either<Failure, Optional<Item>>> get(String key);
 
--- a/library/src/main/java/io/radishspindle/pool/runtime/RelayedStore.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/RelayedStore.java
@@ -95,6 +95,11 @@
         }
     }
 
+    @Override
+    public void onPartialAnswer(Runnable listener) {
+        direct.onPartialAnswer(listener);
+    }
+
     @Override
     public Future<Either<Failure, Boolean>> probe(long timeoutMs) {
         return direct.probe(timeoutMs);
--- a/library/src/test/java/io/radishspindle/pool/runtime/FakeSharedStore.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/FakeSharedStore.java
@@ -49,6 +49,9 @@
     /** Hanging calls; running them fails them with an unknown outcome. */
     final List<Runnable> hanging = new ArrayList<>();
 
+    /** Runs when a part of an answer arrives. */
+    Runnable partListener = () -> {};
+
     /** Runs once before the next transaction is executed. */
     Runnable beforeNextTransaction = () -> {};
 
@@ -83,6 +86,11 @@
         return withFaults(() -> Either.right(true));
     }
 
+    @Override
+    public void onPartialAnswer(Runnable listener) {
+        partListener = listener;
+    }
+
     @Override
     public Future<Either<Failure, Optional<Item>>> get(String key) {
         return withFaults(() -> Either.right(Optional.ofNullable(items.get(key))));
