RelayedStore: a part of an answer shows that the direct path works

Cause: a call that is in flight for 600 ms counts as an outage, and its failure marks the path, although its answer was arriving all the time.

A part of the answer to a successful read now counts like a complete one. Besides, a call in flight is compared with the last sign by itself: before, the oldest call hid a later one without an answer, which a stalled read would do for longer than before.

--- a/library/src/main/java/io/radishspindle/pool/runtime/RelayedStore.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/RelayedStore.java
@@ -12,7 +12,6 @@
 import io.vertx.core.Future;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -25,8 +24,9 @@
  * Client of the shared store that calls it directly, or through another VM while the store rejects or does not answer
  * this one. Confined to one event loop.
  *
- * <p>Invariant: a write is retried through another VM only if it surely had no effect; callers resolve unknown outcomes
- * themselves. Leases are always created and ended directly.
+ * <p>Invariants: a write is retried through another VM only if it surely had no effect; callers resolve unknown
+ * outcomes themselves. Leases are always created and ended directly. A part of an answer is as good a sign of the
+ * direct path as a complete one, and a failure counts only if no sign has come since its call was sent.
  */
 final class RelayedStore implements SharedStore {
     /** Timeout of a relayed call, in milliseconds: a store call and a round trip between regions. */
@@ -52,7 +52,7 @@
     private final SharedStore direct;
     private final PeerMessenger messenger;
     private final Supplier<List<String>> peers;
-    /** Start times of the direct calls in flight, oldest first. */
+    /** Start times of the direct calls in flight, oldest first; watches are left out, since they wait. */
     private final Map<Long, Long> outstanding = new LinkedHashMap<>();
 
     private final Map<String, Long> backOffUntilMs = new HashMap<>();
@@ -71,19 +71,25 @@
         this.direct = direct;
         this.messenger = messenger;
         this.peers = peers;
+        direct.onPartialAnswer(this::recordSuccess);
     }
 
-    /** Whether the last direct call failed or the oldest one in flight is overdue. */
+    /** Whether the last direct call failed or one in flight is overdue without an answer to any since it was sent. */
     boolean isDirectPathDown() {
         if (lastFailureMs > lastSuccessMs) {
             return true;
         }
-        Iterator<Long> oldest = outstanding.values().iterator();
-        if (!oldest.hasNext()) {
-            return false;
+        for (long sentAtMs : outstanding.values()) {
+            if (sentAtMs > lastSuccessMs) {
+                return clock.nowMs() - sentAtMs > UNANSWERED_CALL_MS;
+            }
         }
-        long sinceMs = oldest.next();
-        return lastSuccessMs < sinceMs && clock.nowMs() - sinceMs > UNANSWERED_CALL_MS;
+        return false;
+    }
+
+    private void recordSuccess() {
+        lastSuccessMs = clock.nowMs();
+        reportPath();
     }
 
     /** Probes the direct path while it is down, to detect its return soon; called several times a second. */
@@ -97,7 +103,10 @@
 
     @Override
     public void onPartialAnswer(Runnable listener) {
-        direct.onPartialAnswer(listener);
+        direct.onPartialAnswer(() -> {
+            recordSuccess();
+            listener.run();
+        });
     }
 
     @Override
@@ -267,11 +276,17 @@
         boolean failed = result.isLeft()
                 && (result.getLeft().code() == ErrorCode.STORE_UNAVAILABLE
                         || result.getLeft().code() == ErrorCode.OUTCOME_UNKNOWN);
-        if (failed && sentAtMs >= lastSuccessMs) {
+        if (!failed) {
+            recordSuccess();
+            return;
+        }
+        if (sentAtMs >= lastSuccessMs) {
             lastFailureMs = clock.nowMs();
-        } else if (!failed) {
-            lastSuccessMs = clock.nowMs();
         }
+        reportPath();
+    }
+
+    private void reportPath() {
         if (relaying != isDirectPathDown()) {
             relaying = isDirectPathDown();
             downSinceMs = clock.nowMs();
