Relayed listings get more time after each one without a reply

A VM whose path to the store is down lists through a peer, within 1.3 s whatever the size of the listing. As reads of the store go on for longer now, the reads of the peers would also pile up.

The timeout of a relayed listing doubles after each one of the same prefix without a reply, up to 5.2 s, and is the usual one again after a reply; a first listing through a frozen peer takes no longer than before. A VM that lists for others reads each prefix once at a time: calls that come during a read share the next one, so that each still sees all changes from before it. Watches are not joined: they end with the first change, and a listing follows.

--- a/library/src/main/java/io/radishspindle/pool/runtime/RelayedStore.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/RelayedStore.java
@@ -31,6 +31,11 @@
 final class RelayedStore implements SharedStore {
     /** Timeout of a relayed call, in milliseconds: a store call and a round trip between regions. */
     private static final long RELAY_TIMEOUT_MS = 1_300;
+    /**
+     * Longest timeout of a relayed listing, in milliseconds: the largest one that fits a frame, read and sent on at 4
+     * Mbit/s each.
+     */
+    private static final long MAX_RELAYED_LIST_TIMEOUT_MS = 5_200;
     /** Wait of a relayed watch, in milliseconds; with a slow store it still ends within the timeout above. */
     private static final long RELAYED_WAIT_MS = 700;
     /** A call pending for longer than this marks the store as unavailable; a slow store takes up to 400 ms. */
@@ -56,6 +61,11 @@
     private final Map<Long, Long> outstanding = new LinkedHashMap<>();
 
     private final Map<String, Long> backOffUntilMs = new HashMap<>();
+    /** Timeouts of the next relayed listings by prefix, in milliseconds, where they differ from the usual one. */
+    private final Map<String, Long> listTimeoutsMs = new HashMap<>();
+
+    /** Listings for other VMs. */
+    private final JoinedReads<Either<Failure, Listing>> servedListings = new JoinedReads<>();
 
     private long calls;
     private long lastSuccessMs = Long.MIN_VALUE + 1;
@@ -236,8 +246,8 @@
         }
         String peer = nextPeer(candidates);
         return messenger
-                .request(peer, message, RelayStoreReply.class, RELAY_TIMEOUT_MS)
-                .onSuccess(reply -> recordReply(peer, reply))
+                .request(peer, message, RelayStoreReply.class, timeoutMs(message))
+                .onSuccess(reply -> recordReply(peer, message, reply))
                 .compose(reply -> reply.isLeft() && reply.getLeft().notRun() && isOutage(reply.getLeft())
                         ? relay(message, tries + 1, cause)
                         : Future.succeededFuture(reply));
@@ -254,7 +264,18 @@
         return candidates.get(Math.floorMod(rotation++, candidates.size()));
     }
 
-    private void recordReply(String peer, Either<Failure, RelayStoreReply> reply) {
+    private long timeoutMs(RelayStore message) {
+        return isListing(message) ? listTimeoutsMs.getOrDefault(message.key(), RELAY_TIMEOUT_MS) : RELAY_TIMEOUT_MS;
+    }
+
+    private static boolean isListing(RelayStore message) {
+        return message.operation().equals("list");
+    }
+
+    private void recordReply(String peer, RelayStore message, Either<Failure, RelayStoreReply> reply) {
+        if (isListing(message)) {
+            recordListing(message.key(), reply);
+        }
         boolean unresponsive = reply.isLeft()
                 && (reply.getLeft().code() == ErrorCode.PEER_UNREACHABLE
                         || reply.getLeft().code() == ErrorCode.OUTCOME_UNKNOWN);
@@ -265,6 +286,16 @@
         }
     }
 
+    /** Allows the next listing more time after one that may have been on its way. */
+    private void recordListing(String prefix, Either<Failure, RelayStoreReply> reply) {
+        if (reply.isRight()) {
+            listTimeoutsMs.remove(prefix);
+        } else if (reply.getLeft().code() == ErrorCode.OUTCOME_UNKNOWN) {
+            long timeoutMs = listTimeoutsMs.getOrDefault(prefix, RELAY_TIMEOUT_MS);
+            listTimeoutsMs.put(prefix, Math.min(MAX_RELAYED_LIST_TIMEOUT_MS, 2 * timeoutMs));
+        }
+    }
+
     private static boolean isOutage(Failure failure) {
         return failure.code() == ErrorCode.STORE_UNAVAILABLE
                 || failure.code() == ErrorCode.PEER_UNREACHABLE
@@ -297,12 +328,7 @@
     /** Executes a call for another VM, directly only: it is never relayed further. */
     Future<Either<Failure, RelayStoreReply>> serve(RelayStore message) {
         if (isDirectPathDown()) {
-            return Future.succeededFuture(Either.left(Failure.retryable(
-                    ErrorCode.STORE_UNAVAILABLE,
-                    "store.relay",
-                    "store",
-                    "the store is unavailable to this VM as well",
-                    1_000)));
+            return Future.succeededFuture(Either.left(unavailableHere()));
         }
         return switch (message.operation()) {
             case "get" ->
@@ -312,7 +338,8 @@
                                 0,
                                 item.map(RelayedStore::relayed).stream().toList())));
             case "list" ->
-                direct.list(message.key())
+                servedListings
+                        .read(message.key(), () -> serveListing(message.key()))
                         .map(result -> result.map(
                                 listing -> new RelayStoreReply(true, listing.revision(), relayed(listing.items()))));
             case "watch" ->
@@ -332,6 +359,19 @@
         };
     }
 
+    private Future<Either<Failure, Listing>> serveListing(String prefix) {
+        return isDirectPathDown() ? Future.succeededFuture(Either.left(unavailableHere())) : direct.list(prefix);
+    }
+
+    private static Failure unavailableHere() {
+        return Failure.retryable(
+                ErrorCode.STORE_UNAVAILABLE,
+                "store.relay",
+                "store",
+                "the store is unavailable to this VM as well",
+                1_000);
+    }
+
     private static Txn txn(RelayStore message) {
         List<Write> writes = new ArrayList<>();
         message.writes().forEach(item -> writes.add(new Write(item.key(), item.value(), item.lease())));
