--- a/library/src/main/java/io/radishspindle/pool/runtime/RelayedStore.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/RelayedStore.java
@@ -12,7 +12,6 @@
 import io.vertx.core.Future;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -25,12 +24,18 @@
  * Client of the shared store that calls it directly, or through another VM while the store rejects or does not answer
  * this one. Confined to one event loop.
  *
- * <p>Invariant: a write is retried through another VM only if it surely had no effect; callers resolve unknown outcomes
- * themselves. Leases are always created and ended directly.
+ * <p>Invariants: a write is retried through another VM only if it surely had no effect; callers resolve unknown
+ * outcomes themselves. Leases are always created and ended directly. A part of an answer is as good a sign of the
+ * direct path as a complete one, and a failure counts only if no sign has come since its call was sent.
  */
 final class RelayedStore implements SharedStore {
     /** Timeout of a relayed call, in milliseconds: a store call and a round trip between regions. */
     private static final long RELAY_TIMEOUT_MS = 1_300;
+    /**
+     * Longest timeout of a relayed listing, in milliseconds: the largest one that fits a frame, read and sent on at 4
+     * Mbit/s each.
+     */
+    private static final long MAX_RELAYED_LIST_TIMEOUT_MS = 5_200;
     /** Wait of a relayed watch, in milliseconds; with a slow store it still ends within the timeout above. */
     private static final long RELAYED_WAIT_MS = 700;
     /** A call pending for longer than this marks the store as unavailable; a slow store takes up to 400 ms. */
@@ -52,10 +57,15 @@
     private final SharedStore direct;
     private final PeerMessenger messenger;
     private final Supplier<List<String>> peers;
-    /** Start times of the direct calls in flight, oldest first. */
+    /** Start times of the direct calls in flight, oldest first; watches are left out, since they wait. */
     private final Map<Long, Long> outstanding = new LinkedHashMap<>();
 
     private final Map<String, Long> backOffUntilMs = new HashMap<>();
+    /** Timeouts of the next relayed listings by prefix, in milliseconds, where they differ from the usual one. */
+    private final Map<String, Long> listTimeoutsMs = new HashMap<>();
+
+    /** Listings for other VMs. */
+    private final JoinedReads<Either<Failure, Listing>> servedListings = new JoinedReads<>();
 
     private long calls;
     private long lastSuccessMs = Long.MIN_VALUE + 1;
@@ -71,19 +81,25 @@
         this.direct = direct;
         this.messenger = messenger;
         this.peers = peers;
+        direct.onPartialAnswer(this::recordSuccess);
     }
 
-    /** Whether the last direct call failed or the oldest one in flight is overdue. */
+    /** Whether the last direct call failed or one in flight is overdue without an answer to any since it was sent. */
     boolean isDirectPathDown() {
         if (lastFailureMs > lastSuccessMs) {
             return true;
         }
-        Iterator<Long> oldest = outstanding.values().iterator();
-        if (!oldest.hasNext()) {
-            return false;
+        for (long sentAtMs : outstanding.values()) {
+            if (sentAtMs > lastSuccessMs) {
+                return clock.nowMs() - sentAtMs > UNANSWERED_CALL_MS;
+            }
         }
-        long sinceMs = oldest.next();
-        return lastSuccessMs < sinceMs && clock.nowMs() - sinceMs > UNANSWERED_CALL_MS;
+        return false;
+    }
+
+    private void recordSuccess() {
+        lastSuccessMs = clock.nowMs();
+        reportPath();
     }
 
     /** Probes the direct path while it is down, to detect its return soon; called several times a second. */
@@ -95,6 +111,14 @@
         }
     }
 
+    @Override
+    public void onPartialAnswer(Runnable listener) {
+        direct.onPartialAnswer(() -> {
+            recordSuccess();
+            listener.run();
+        });
+    }
+
     @Override
     public Future<Either<Failure, Boolean>> probe(long timeoutMs) {
         return direct.probe(timeoutMs);
@@ -222,8 +246,8 @@
         }
         String peer = nextPeer(candidates);
         return messenger
-                .request(peer, message, RelayStoreReply.class, RELAY_TIMEOUT_MS)
-                .onSuccess(reply -> recordReply(peer, reply))
+                .request(peer, message, RelayStoreReply.class, timeoutMs(message))
+                .onSuccess(reply -> recordReply(peer, message, reply))
                 .compose(reply -> reply.isLeft() && reply.getLeft().notRun() && isOutage(reply.getLeft())
                         ? relay(message, tries + 1, cause)
                         : Future.succeededFuture(reply));
@@ -240,7 +264,18 @@
         return candidates.get(Math.floorMod(rotation++, candidates.size()));
     }
 
-    private void recordReply(String peer, Either<Failure, RelayStoreReply> reply) {
+    private long timeoutMs(RelayStore message) {
+        return isListing(message) ? listTimeoutsMs.getOrDefault(message.key(), RELAY_TIMEOUT_MS) : RELAY_TIMEOUT_MS;
+    }
+
+    private static boolean isListing(RelayStore message) {
+        return message.operation().equals("list");
+    }
+
+    private void recordReply(String peer, RelayStore message, Either<Failure, RelayStoreReply> reply) {
+        if (isListing(message)) {
+            recordListing(message.key(), reply);
+        }
         boolean unresponsive = reply.isLeft()
                 && (reply.getLeft().code() == ErrorCode.PEER_UNREACHABLE
                         || reply.getLeft().code() == ErrorCode.OUTCOME_UNKNOWN);
@@ -251,6 +286,16 @@
         }
     }
 
+    /** Allows the next listing more time after one that may have been on its way. */
+    private void recordListing(String prefix, Either<Failure, RelayStoreReply> reply) {
+        if (reply.isRight()) {
+            listTimeoutsMs.remove(prefix);
+        } else if (reply.getLeft().code() == ErrorCode.OUTCOME_UNKNOWN) {
+            long timeoutMs = listTimeoutsMs.getOrDefault(prefix, RELAY_TIMEOUT_MS);
+            listTimeoutsMs.put(prefix, Math.min(MAX_RELAYED_LIST_TIMEOUT_MS, 2 * timeoutMs));
+        }
+    }
+
     private static boolean isOutage(Failure failure) {
         return failure.code() == ErrorCode.STORE_UNAVAILABLE
                 || failure.code() == ErrorCode.PEER_UNREACHABLE
@@ -262,11 +307,17 @@
         boolean failed = result.isLeft()
                 && (result.getLeft().code() == ErrorCode.STORE_UNAVAILABLE
                         || result.getLeft().code() == ErrorCode.OUTCOME_UNKNOWN);
-        if (failed && sentAtMs >= lastSuccessMs) {
+        if (!failed) {
+            recordSuccess();
+            return;
+        }
+        if (sentAtMs >= lastSuccessMs) {
             lastFailureMs = clock.nowMs();
-        } else if (!failed) {
-            lastSuccessMs = clock.nowMs();
         }
+        reportPath();
+    }
+
+    private void reportPath() {
         if (relaying != isDirectPathDown()) {
             relaying = isDirectPathDown();
             downSinceMs = clock.nowMs();
@@ -277,12 +328,7 @@
     /** Executes a call for another VM, directly only: it is never relayed further. */
     Future<Either<Failure, RelayStoreReply>> serve(RelayStore message) {
         if (isDirectPathDown()) {
-            return Future.succeededFuture(Either.left(Failure.retryable(
-                    ErrorCode.STORE_UNAVAILABLE,
-                    "store.relay",
-                    "store",
-                    "the store is unavailable to this VM as well",
-                    1_000)));
+            return Future.succeededFuture(Either.left(unavailableHere()));
         }
         return switch (message.operation()) {
             case "get" ->
@@ -292,7 +338,8 @@
                                 0,
                                 item.map(RelayedStore::relayed).stream().toList())));
             case "list" ->
-                direct.list(message.key())
+                servedListings
+                        .read(message.key(), () -> serveListing(message.key()))
                         .map(result -> result.map(
                                 listing -> new RelayStoreReply(true, listing.revision(), relayed(listing.items()))));
             case "watch" ->
@@ -312,6 +359,19 @@
         };
     }
 
+    private Future<Either<Failure, Listing>> serveListing(String prefix) {
+        return isDirectPathDown() ? Future.succeededFuture(Either.left(unavailableHere())) : direct.list(prefix);
+    }
+
+    private static Failure unavailableHere() {
+        return Failure.retryable(
+                ErrorCode.STORE_UNAVAILABLE,
+                "store.relay",
+                "store",
+                "the store is unavailable to this VM as well",
+                1_000);
+    }
+
     private static Txn txn(RelayStore message) {
         List<Write> writes = new ArrayList<>();
         message.writes().forEach(item -> writes.add(new Write(item.key(), item.value(), item.lease())));
