Read a large configuration over a link between regions twice, and know its age

Cause: all 15 VMs of a region read a value of 1 MB over a link of 42 Mbit/s, outlast the time limit together, and begin again. The region was taken for that of the store, by its name; a value above 900 KB wasn't relayed at all; when no reader replied, every VM read at once; each listing transferred a value that the VM had; and each of several closely following versions crossed.

- Readers in every region of six VMs or more, whatever region the store is in.
They are the two strongest in different data centres that answer; others take their place, spread by rank.
VMs that don't answer are probed beside the reads, so that no read waits for a VM that hangs.
- Any VM answers, with the time of its knowledge relative to the arrival of the query; the asking VM counts from the sending, so that knowledge never becomes younger on its way.
A query ends with the next confirmation, so that a relayed configuration is hardly older than the reader's.
- Values cross between VMs compressed (1.0 MB of routes: 274 KB), once compressed for each revision, and inflated up to 2 MiB.
- A known value is read by a transaction without writes on its revision, which returns the newest value only if it is another one.
If the store rejects such transactions, listings are used as before.
- Pauses of three times the transfer and the decoding (at most 1 s; 0.4 s in small regions), retries up to 1 s apart with jitter, and a read by a VM that is no reader only after 3 s without news (8 s while readers say that the store doesn't answer), at random times.
- VMs that start wait 0.1 to 0.3 s for others that start with them.
- Readiness: the store is known to have had nothing newer 3.2 s ago (bound of 4 s) in large regions, 1.8 s (2.5 s) in small ones.
It was 1.8 s from the reply, whose sender's own knowledge could be 1.8 s old.

Rolling update: an older VM that asks sends no age and gets an uncompressed value, from readers only, while their knowledge is younger than 1.8 s (it counts the reply as new); above 900 KB it is told, as before, that the value doesn't fit. The reply of an older VM has no age and counts as 1.8 s older than the query. A VM that doesn't know the message rejects it, and the next one is asked.

ConfigRelayTest is written anew: the tests that a VM serves only as a reader, and that two VMs read in the distant region only, asserted the old design. Instead: two readers in either region, knowledge never younger by relaying, the age of late replies, the next two VMs when both readers are lost, and what earlier releases are told. All other cases remain.

--- a/library/src/main/java/io/radishspindle/pool/runtime/ControlView.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/ControlView.java
@@ -42,6 +42,7 @@
     private final Map<String, Set<String>> queueSlices = new HashMap<>();
 
     private long version;
+    private boolean listed;
 
     ControlView(Clock clock) {
         this.clock = clock;
@@ -50,6 +51,7 @@
     @Override
     public void onListed(List<Item> items) {
         version++;
+        listed = true;
         Set<String> keys = new HashSet<>();
         items.forEach(item -> keys.add(item.key()));
         live.keySet().removeIf(vm -> !keys.contains(StoreKeys.member(vm)));
@@ -130,17 +132,9 @@
         return active;
     }
 
-    /** Region with the most VMs, where the store is; the first by name if several have as many. */
-    String homeRegion() {
-        Map<String, Integer> vms = new TreeMap<>();
-        live.values().forEach(member -> vms.merge(member.region(), 1, Integer::sum));
-        String home = "";
-        for (Map.Entry<String, Integer> region : vms.entrySet()) {
-            if (home.isEmpty() || region.getValue() > vms.getOrDefault(home, 0)) {
-                home = region.getKey();
-            }
-        }
-        return home;
+    /** Whether the entries have been listed once. */
+    boolean isListed() {
+        return listed;
     }
 
     Optional<Ownership> owner(String pool) {
--- a/library/src/main/java/io/radishspindle/pool/runtime/OwnerElection.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/OwnerElection.java
@@ -158,8 +158,8 @@
 
     /**
      * VMs that aren't draining, in order of preference as owner of a pool: VMs without a pool first, then VMs in the
-     * region with the most VMs, where the store and most workers are, then VMs with a higher {@link Member#strength}. A
-     * hash of pool and VM breaks ties, which spreads the pools.
+     * region with the most VMs (by name among equals), which probably has most workers, then VMs with a higher
+     * {@link Member#strength}. A hash of pool and VM breaks ties, which spreads the pools.
      */
     private List<String> rank(String pool, String excluded, Set<String> ownPools) {
         Map<String, Member> live = view.active();
--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolNode.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolNode.java
@@ -43,6 +43,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import org.apache.commons.rng.simple.RandomSource;
 import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
 
@@ -57,8 +58,6 @@
     private static final long ELECTION_TICK_MS = 100;
     /** Pause between watches of the worker entries, in milliseconds; batches several changes into one call. */
     private static final long WORKER_WATCH_PAUSE_MS = 100;
-    /** The VM reports itself not ready if its last successful configuration read is older than this. */
-    private static final long CONFIG_MAX_AGE_MS = 1_800;
 
     private final Vertx vertx;
     private final Clock clock;
@@ -127,7 +126,14 @@
         intake = new JobIntake(
                 vertx, clock, store, view, slices, this::notifyOwner, store::isDirectPathDown, store::retryAfterMs);
         directory = new JobDirectory(clock, store, new JobLocator(store, slices), messenger, view, self, owned);
-        configRelay = new ConfigRelay(vertx, clock, store, messenger, view, self, this::hasFreshConfig);
+        configRelay = new ConfigRelay(
+                vertx,
+                clock,
+                store,
+                messenger,
+                view,
+                self,
+                RandomSource.XO_RO_SHI_RO_128_PP.create((self.vmId() + "/" + self.boot()).hashCode()));
         workers = new RegisteredWorkers(codec, slices, this::ownerOf);
         quotas = new QuotaKeeper(vertx, clock, store, store, this::config, this::sliceNames, this::onStoreResult);
         configWatch = new PrefixWatch(
@@ -189,7 +195,15 @@
     }
 
     private boolean hasFreshConfig() {
-        return config != null && clock.nowMs() - configWatch.lastSuccessMs() < CONFIG_MAX_AGE_MS;
+        return config != null && configRelay.isFresh();
+    }
+
+    /**
+     * Time on the monotonic clock as of which the configuration that was read last is known to be the store's newest;
+     * far in the past before the first read.
+     */
+    public long configKnownAtMs() {
+        return configRelay.knownAtMs();
     }
 
     /** The configuration in force; empty before the first one has been read. */
@@ -385,7 +399,6 @@
             if (value == null || !item.key().equals(codec.configKey())) {
                 return;
             }
-            configRelay.onConfigRead(item);
             codec.config(value).ifPresent(next -> {
                 if (config == null || next.version() > config.version()) {
                     Logger.info(
--- a/library/src/main/java/io/radishspindle/protocol/message/PoolMessages.java
+++ b/library/src/main/java/io/radishspindle/protocol/message/PoolMessages.java
@@ -86,12 +86,22 @@
     /**
      * Requests the operators' configuration from a VM of the same region; the reply is {@link ConfigReply}.
      *
-     * @param afterRevision the reply is delayed until there is a later revision, by at most {@code waitMs} milliseconds
+     * @param afterRevision the reply is delayed until there is a later revision, or until the receiver knows as of a
+     *     later time that there is none, by at most {@code waitMs} milliseconds
+     * @param knownAgeMs how long ago the store is known to the sender to have had no later revision, in milliseconds;
+     *     null if the sender is of an earlier release, which reads neither ages nor compressed values
      */
-    public record QueryConfig(long afterRevision, long waitMs) implements PeerMessage {}
+    public record QueryConfig(long afterRevision, long waitMs, @Nullable Long knownAgeMs) implements PeerMessage {}
 
-    /** The configuration as stored; the value is empty if there is no later revision. */
-    public record ConfigReply(String key, byte[] value, long revision) implements PeerMessage {}
+    /**
+     * The configuration as stored; the value is empty if there is no later revision.
+     *
+     * @param knownAfterMs time at which the store had no later revision, in milliseconds after the arrival of the
+     *     query; negative if it was before; null if the sender is of an earlier release: its knowledge may be 1.8 s old
+     * @param compressed whether the value is in the zlib format
+     */
+    public record ConfigReply(String key, byte[] value, long revision, @Nullable Long knownAfterMs, boolean compressed)
+            implements PeerMessage {}
 
     /** Result of a relayed store call. */
     public record RelayStoreReply(boolean applied, long revision, List<RelayedItem> items) implements PeerMessage {}
--- a/library/src/test/java/io/radishspindle/pool/runtime/FakeSharedStore.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/FakeSharedStore.java
@@ -49,6 +49,9 @@
     /** Hanging calls; running them fails them with an unknown outcome. */
     final List<Runnable> hanging = new ArrayList<>();
 
+    /** Whether transactions are rejected as invalid. */
+    boolean rejectsTransactions;
+
     /** Runs once before the next transaction is executed. */
     Runnable beforeNextTransaction = () -> {};
 
@@ -117,6 +120,9 @@
     @Override
     public Future<Either<Failure, TxnResult>> transact(Txn txn) {
         return withFaults(() -> {
+            if (rejectsTransactions) {
+                return Either.left(Failure.rejected(ErrorCode.INVALID_REQUEST, "store.transact", "status 403"));
+            }
             Runnable change = beforeNextTransaction;
             beforeNextTransaction = () -> {};
             change.run();
--- a/library/src/test/java/io/radishspindle/pool/runtime/SimulatedConfigStore.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/SimulatedConfigStore.java
@@ -14,8 +14,8 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * The store with the configuration only. Its replies to VMs of other regions share one link, and VMs give calls up after
- * a time limit. A watch returns every version since its revision, as the platform documents. Not thread-safe.
+ * The store with the configuration only. Its replies to VMs of other regions share one link, and VMs give calls up
+ * after a time limit. A watch returns every version since its revision, as the platform documents. Not thread-safe.
  */
 final class SimulatedConfigStore {
     private static final long LATENCY_MS = 2;
