--- a/library/src/test/java/io/radishspindle/pool/runtime/FakeSharedStore.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/FakeSharedStore.java
@@ -52,6 +52,9 @@
     /** Runs when a part of an answer arrives. */
     Runnable partListener = () -> {};
 
+    /** Whether transactions are rejected as invalid. */
+    boolean rejectsTransactions;
+
     /** Runs once before the next transaction is executed. */
     Runnable beforeNextTransaction = () -> {};
 
@@ -125,6 +128,9 @@
     @Override
     public Future<Either<Failure, TxnResult>> transact(Txn txn) {
         return withFaults(() -> {
+            if (rejectsTransactions) {
+                return Either.left(Failure.rejected(ErrorCode.INVALID_REQUEST, "store.transact", "status 403"));
+            }
             Runnable change = beforeNextTransaction;
             beforeNextTransaction = () -> {};
             change.run();
