Apply answers to holds that come after the hold has failed

A hold still fails when its answer is overdue, and the worker gets no starts. But its call stays open while an answer can tell something: until every lease that may be granted before the hold fails has expired, or while a recorded worker is awaited after a takeover. What comes late is applied:

- Holds overlap now, and answers arrive in any order.
ReportSequence places a report: one to a hold that was sent after the last applied answer arrived is the newest; any other is placed by the worker's clock.
An older report counts for its ends only; one that may be of another incarnation, or of a worker whose address another one has, not at all.
- The majority counts a worker from the sending of the answered hold, never from an earlier time than known.
The worker's clock isn't set back by the delay of an answer, which would shorten the next lease.
- A late answer shows that the worker is alive: it isn't lost before 2.6 s without any answer, and the next hold may renew its lease, once for each late answer.
Runs behind a slow link go on; a silent worker still gets no further lease.
- Late reports don't count for the detection of stalled tasks, for run times and for the proof that a worker survived a start.
- Retries to a silent worker double from 120 to 960 ms, with one as soon as all leases have expired: 6 holds to a lease where there were 11.
Four overdue holds of a worker stay open at most, on 6 connections.

LateHoldAnswerTest failed before (2 of 2) and passes, and so do the tests of library pool.

--- a/library/src/main/java/io/radishspindle/pool/core/PoolAction.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolAction.java
@@ -83,8 +83,8 @@
      *
      * @param runs number of these runs
      * @param answerAgeMs milliseconds since the last answer; -1 if there was none
-     * @param failingMs milliseconds since the first hold after it has failed; -1 if none has
-     * @param failedHolds number of holds that have failed since the last answer
+     * @param failingMs milliseconds since the first hold after the last answer in time has failed; -1 if none has
+     * @param failedHolds number of holds that have failed since then
      * @param leaseSource what has set the end of the leases
      * @param expiredMs milliseconds since the end of the leases
      */
@@ -103,7 +103,7 @@
                     worker.entry,
                     reason,
                     worker.runs.size(),
-                    worker.answered ? nowMs - worker.lastAnswerMs : -1,
+                    worker.answered ? nowMs - worker.lastArrivalMs : -1,
                     worker.brokenAtMs < 0 ? -1 : nowMs - worker.brokenAtMs,
                     worker.failedHolds,
                     worker.leaseSource.name().toLowerCase(Locale.ROOT).replace('_', '-'),
--- a/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
@@ -238,6 +238,12 @@
         return worker != null && worker.hasEverAnswered();
     }
 
+    /** Returns the time on the owner's clock by which all leases granted to the worker have expired. */
+    public long leasesEndMs(String workerId) {
+        WorkerState worker = workers.get(workerId);
+        return worker == null ? 0 : worker.leaseBoundMs;
+    }
+
     /** Returns whether the worker may have runs, of this owner or of an earlier one. */
     public boolean mayHaveRuns(String workerId, long nowMs) {
         WorkerState worker = workers.get(workerId);
@@ -270,7 +276,8 @@
         long dueMs = nowMs + order.waitMs() + PoolTiming.HOLD_ANSWER_MS;
         // A start may extend the lease while the answer isn't overdue.
         long relevantUntilMs = mayReportNews(worker, nowMs) ? dueMs + WorkerState.LONGEST_LEASE_MS : dueMs;
-        return new SentHold(order, nowMs, dueMs, relevantUntilMs, worker.calls.next());
+        worker.lastHoldNumber = worker.calls.next();
+        return new SentHold(order, nowMs, dueMs, relevantUntilMs, worker.lastHoldNumber);
     }
 
     /** Whether the worker may report runs, or ends of runs, that this owner doesn't know or hasn't given up. */
@@ -289,8 +296,7 @@
         if (!worker.answered) {
             return new HoldOrder(0, fencingToken, 0, 0);
         }
-        // A worker that may be unreachable gets no further lease, so that its runs end at a known time.
-        boolean renew = !worker.runs.isEmpty() && !worker.lastHoldFailed && hasQuorum(nowMs);
+        boolean renew = worker.mayRenewLease() && hasQuorum(nowMs);
         long leaseEnd = renew ? worker.grantLease(nowMs, LeaseSource.HOLD) : 0;
         boolean mayWait = worker.appliedSequence == worker.durableSequence && !worker.lastHoldFailed;
         // The worker may have restarted since its last answer and may use the same sequence numbers again.
@@ -305,19 +311,21 @@
     }
 
     /**
-     * Applies the report of a worker.
+     * Applies the report of a worker, which may arrive after the hold has failed, or after reports to later holds.
      *
      * @param hold the hold that requested it, from {@link #holdOrder}; runs that were resolved after it was sent may be
      *     missing from the report
      */
-    public void onHoldReply(String workerId, SentHold hold, WorkerReport report, long nowMs, long wallMs) {
+    public ReportOrder onHoldReply(String workerId, SentHold hold, WorkerReport report, long nowMs, long wallMs) {
         WorkerState worker = workers.get(workerId);
-        if (worker != null) {
-            events.onReport(worker, hold, report, nowMs, wallMs);
-            if (hold.sentAtMs() < trustedFromMs) {
-                worker.distrustAnswers(trustedFromMs);
-            }
+        if (worker == null) {
+            return ReportOrder.OTHER_INCARNATION;
+        }
+        ReportOrder order = events.onReport(worker, hold, report, nowMs, wallMs);
+        if (hold.sentAtMs() < trustedFromMs) {
+            worker.distrustAnswers(trustedFromMs);
         }
+        return order;
     }
 
     /**
@@ -333,9 +341,7 @@
                 worker.brokenOff = brokenOff;
                 attribution.onBroken(worker, nowMs);
             }
-            worker.lastHoldFailed = true;
-            worker.failedHolds++;
-            worker.failedHoldSentAtMs = sentAtMs;
+            worker.onHoldFailed(sentAtMs);
         }
     }
 
@@ -351,6 +357,7 @@
         }
         worker.answered = false;
         worker.replaced = true;
+        worker.reports.onReplaced(worker.calls.next());
         worker.hasReportedAll = false;
         worker.bootWallMs = UNKNOWN_BOOT_MS;
         worker.leaseBoundMs = nowMs;
--- a/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
+++ b/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
@@ -83,8 +83,18 @@
         this.actions = actions;
     }
 
-    void onReport(WorkerState worker, SentHold hold, WorkerReport report, long nowMs, long wallMs) {
-        long requestedAtMs = hold.sentAtMs();
+    ReportOrder onReport(WorkerState worker, SentHold hold, WorkerReport report, long nowMs, long wallMs) {
+        boolean sameIncarnation = worker.answered && report.bootWallMs() == worker.bootWallMs;
+        ReportOrder order = worker.reports.place(hold, report, sameIncarnation);
+        if (order == ReportOrder.OTHER_INCARNATION) {
+            return order;
+        }
+        endsAreFresh = worker.answered && !worker.isLate(hold) && nowMs - worker.lastAnswerMs <= MAX_REPORT_GAP_MS;
+        if (order == ReportOrder.OLDER) {
+            worker.onAnswered(hold, nowMs);
+            applyEnds(worker, report, nowMs, wallMs);
+            return order;
+        }
         if (worker.answered && report.bootWallMs() != worker.bootWallMs) {
             onNewIncarnation(worker, report, nowMs);
         }
@@ -97,37 +107,36 @@
                 worker.onClockRestarted(nowMs);
             }
         }
-        endsAreFresh = worker.answered && nowMs - worker.lastAnswerMs <= MAX_REPORT_GAP_MS;
         worker.bootWallMs = report.bootWallMs();
         worker.answered = true;
         worker.replaced = false;
         worker.entryAtLastAnswer = worker.entry;
-        worker.lastHoldFailed = false;
-        worker.failedHolds = 0;
-        worker.brokenAtMs = -1;
-        worker.brokenOff = false;
-        worker.lastAnswerMs = nowMs;
-        worker.tokenAcceptedAtMs = hold.sentAtMs();
-        worker.clockMs = report.clockMs();
-        worker.clockAtMs = nowMs;
-        for (EndedRun ended : report.ended()) {
-            if (ended.sequence() > worker.appliedSequence) {
-                worker.appliedSequence = ended.sequence();
-                onRunEnded(worker, ended, nowMs, wallMs);
-            }
-        }
+        worker.onAnswered(hold, nowMs);
+        worker.onClock(hold, report.clockMs(), nowMs);
+        worker.reports.onApplied(hold, report, worker.calls.next());
+        applyEnds(worker, report, nowMs, wallMs);
         Map<String, RunningTask> present = new HashMap<>();
         report.running().forEach(running -> present.put(running.run().toString(), running));
         for (RunState run : List.copyOf(worker.runs.values())) {
             RunningTask running = present.remove(run.run.toString());
             if (running != null) {
-                onRunPresent(run, running, requestedAtMs, nowMs);
+                onRunPresent(run, running, hold, nowMs);
             } else if (report.isComplete() && run.mustBeIn(hold)) {
                 onRunAbsent(run, hold, nowMs, wallMs);
             }
         }
         present.values().forEach(running -> adopt(worker, running, nowMs));
         worker.hasReportedAll |= report.isComplete();
+        return order;
+    }
+
+    private void applyEnds(WorkerState worker, WorkerReport report, long nowMs, long wallMs) {
+        for (EndedRun ended : report.ended()) {
+            if (ended.sequence() > worker.appliedSequence) {
+                worker.appliedSequence = ended.sequence();
+                onRunEnded(worker, ended, nowMs, wallMs);
+            }
+        }
     }
 
     /** Applies the ends of runs that were reported before this job was known. */
@@ -182,10 +191,13 @@
         finish(run, RunEnd.LEASE_EXPIRED, nowMs, wallMs);
     }
 
-    private void onRunPresent(RunState run, RunningTask running, long requestedAtMs, long nowMs) {
+    private void onRunPresent(RunState run, RunningTask running, SentHold hold, long nowMs) {
         run.onAccepted(nowMs);
-        attribution.onPresent(run);
-        if (!run.survivalReported && run.hasSurvivedStart(requestedAtMs)) {
+        if (!run.worker.isLate(hold)) {
+            // A late report may have been made before the worker crashed.
+            attribution.onPresent(run);
+        }
+        if (!run.survivalReported && run.hasSurvivedStart(hold.sentAtMs())) {
             run.survivalReported = true;
             if (run.task != null) {
                 run.task.onSurvivedStart();
@@ -205,7 +217,7 @@
         if (run.phase == Phase.STOPPING && nowMs - run.stopSentAtMs > STOP_RETRY_MS) {
             stop(run, nowMs, "stop retried");
         }
-        if (run.phase == Phase.RUNNING) {
+        if (run.phase == Phase.RUNNING && !run.worker.isLate(hold)) {
             checkStalled(run, running, nowMs);
         }
     }
--- a/library/src/main/java/io/radishspindle/pool/core/WorkerState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/WorkerState.java
@@ -25,6 +25,9 @@
     static final long LONGEST_LEASE_MS =
             (long) Math.ceil(PoolTiming.LEASE_MS / PoolTiming.MIN_CLOCK_RATE) + PoolTiming.LEASE_MARGIN_MS;
 
+    /** Long before every time on the owner's clock. */
+    private static final long NEVER_MS = Long.MIN_VALUE / 2;
+
     private final TenantLimits limits;
     private final WorkerRoster roster;
     private final ActiveRuns activeRuns;
@@ -53,9 +56,20 @@
     /** The trial for which the worker is closed to other starts. */
     final WorkerTrial trial = new WorkerTrial();
 
-    long lastAnswerMs;
+    /** When the last hold was answered in time. */
+    long lastAnswerMs = NEVER_MS;
+    /** When an answer of this incarnation last arrived, in time or late. */
+    long lastArrivalMs = NEVER_MS;
+    /** A lease was granted after that. */
+    boolean grantedSinceArrival;
     /** The worker has accepted the token of this owner at this time or later: when its last answered hold was sent. */
-    long tokenAcceptedAtMs;
+    long tokenAcceptedAtMs = NEVER_MS;
+    /** The order of the reports that were applied. */
+    final ReportSequence reports = new ReportSequence();
+    /** Numbers of the last hold and of the last one that has failed. */
+    long lastHoldNumber = EventSequence.BEFORE_ALL;
+
+    private long failedHoldNumber = EventSequence.BEFORE_ALL;
 
     long clockMs;
     long clockAtMs;
@@ -180,7 +194,7 @@
 
     /** Whether all leases that this owner granted have expired without a sign of life. */
     boolean isLost(long nowMs) {
-        boolean unresponsive = !answered || nowMs - lastAnswerMs > PoolTiming.UNRESPONSIVE_AFTER_MS;
+        boolean unresponsive = !answered || nowMs - lastArrivalMs > PoolTiming.UNRESPONSIVE_AFTER_MS;
         // Requires a failed hold after the expiry, so that an owner short of processor time doesn't miss an end.
         boolean polledSince = failedHoldSentAtMs >= leaseBoundMs;
         return unresponsive && nowMs > leaseBoundMs && (polledSince || runs.isEmpty());
@@ -199,6 +213,53 @@
         }
     }
 
+    /** The last hold has failed: its answer is overdue, its connection broke, or it was rejected. */
+    void onHoldFailed(long sentAtMs) {
+        lastHoldFailed = true;
+        failedHolds++;
+        failedHoldSentAtMs = sentAtMs;
+        failedHoldNumber = lastHoldNumber;
+    }
+
+    /** Whether the answer to this hold comes after the hold has failed. */
+    boolean isLate(SentHold hold) {
+        return hold.number() <= failedHoldNumber;
+    }
+
+    /**
+     * Applies that the worker has answered a hold. A late answer shows that the worker was alive, but not that holds
+     * sent from now on are answered in time.
+     */
+    void onAnswered(SentHold hold, long nowMs) {
+        lastArrivalMs = nowMs;
+        grantedSinceArrival = false;
+        tokenAcceptedAtMs = Math.max(tokenAcceptedAtMs, hold.sentAtMs());
+        if (!isLate(hold)) {
+            lastAnswerMs = nowMs;
+            lastHoldFailed = false;
+            failedHolds = 0;
+            brokenAtMs = -1;
+            brokenOff = false;
+        }
+    }
+
+    /** Applies the worker's clock in a report, unless the report was made longer ago than the last one shows. */
+    void onClock(SentHold hold, long reportedMs, long nowMs) {
+        boolean behind = reportedMs < clockMs + (long) ((nowMs - clockAtMs) * PoolTiming.MIN_CLOCK_RATE);
+        if (!isLate(hold) || !behind) {
+            clockMs = reportedMs;
+            clockAtMs = nowMs;
+        }
+    }
+
+    /**
+     * Whether the next hold may renew the lease. A worker that may be unreachable gets no further one until something
+     * arrives from it, so that its runs end at a known time.
+     */
+    boolean mayRenewLease() {
+        return !runs.isEmpty() && (!lastHoldFailed || (lastArrivalMs > brokenAtMs && !grantedSinceArrival));
+    }
+
     /** Grants a lease: returns its expiry on the worker's clock and raises the bound on the owner's clock. */
     long grantLease(long nowMs, LeaseSource source) {
         long sinceAnswerMs = nowMs - clockAtMs;
@@ -206,6 +267,7 @@
                 + (long) Math.ceil((sinceAnswerMs + PoolTiming.LEASE_MS) / PoolTiming.MIN_CLOCK_RATE)
                 + PoolTiming.LEASE_MARGIN_MS;
         raiseLeaseBound(boundMs, source);
+        grantedSinceArrival = true;
         return clockMs + sinceAnswerMs + PoolTiming.LEASE_MS;
     }
 }
--- a/library/src/main/java/io/radishspindle/pool/runtime/WorkerSessions.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/WorkerSessions.java
@@ -5,6 +5,7 @@
 import io.radishspindle.platform.Clock;
 import io.radishspindle.pool.core.PoolScheduler;
 import io.radishspindle.pool.core.PoolTiming;
+import io.radishspindle.pool.core.ReportOrder;
 import io.radishspindle.pool.core.SentHold;
 import io.radishspindle.pool.model.Run;
 import io.radishspindle.pool.model.RunEnd;
@@ -20,6 +21,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
@@ -61,6 +63,8 @@
     private final Listener listener;
     /** Ids of the workers that are polled. */
     private final Set<String> polled = new HashSet<>();
+
+    private final HoldRetries retries = new HoldRetries();
     /** Reports that were received before the jobs of the pool were loaded. */
     private final List<Runnable> buffered = new ArrayList<>();
 
@@ -126,6 +130,7 @@
         WorkerEntry worker = scheduler.worker(id).orElse(null);
         if (closed || worker == null) {
             polled.remove(id);
+            retries.onAnswered(id);
             firstPolls.onAnswered(id);
             return;
         }
@@ -146,12 +151,40 @@
 
         @Override
         public void onLateReply(WorkerEntry worker, SentHold hold, HoldReply reply) {
+            long receivedAtMs = clock.nowMs();
             listener.onLateReply();
-            logLate(worker, hold, clock.nowMs(), reply, "discarded");
+            // Behind the failure of the hold, which may wait in a portion.
+            Runnable apply = () -> WorkerSessions.this.onLateReply(worker, hold, receivedAtMs, reply);
+            if (delivering) {
+                portions.add(apply);
+            } else {
+                buffered.add(apply);
+            }
         }
     }
 
-    private void logLate(WorkerEntry worker, SentHold hold, long receivedAtMs, HoldReply reply, String outcome) {
+    private void onLateReply(WorkerEntry worker, SentHold hold, long receivedAtMs, HoldReply reply) {
+        if (closed) {
+            return;
+        }
+        if (reply.answer() == Answer.FENCED) {
+            listener.onSuperseded("worker " + worker.id() + " has seen a higher fencing token");
+            return;
+        }
+        if (reply.answer() != Answer.ACCEPTED) {
+            logLate(worker, hold, receivedAtMs, reply, "rejected", 0);
+            return;
+        }
+        listener.beforeReport();
+        int givenUp = scheduler.countGivenUp(reply.report().ended());
+        ReportOrder order = scheduler.onHoldReply(worker.id(), hold, reply.report(), receivedAtMs, clock.wallMs());
+        logLate(worker, hold, receivedAtMs, reply, order.name().toLowerCase(Locale.ROOT), givenUp);
+        listener.onReport();
+    }
+
+    /** @param givenUp how many of the ends in the reply are of runs that were given up */
+    private void logLate(
+            WorkerEntry worker, SentHold hold, long receivedAtMs, HoldReply reply, String outcome, int givenUp) {
         if (log.allows("hold-answered-late")) {
             List<EndedRun> ends = reply.report().ended();
             Logger.info(
@@ -167,7 +200,7 @@
                     reply.report().running().size(),
                     ends.size(),
                     ends.stream().filter(ended -> ended.end() == RunEnd.DONE).count(),
-                    scheduler.countGivenUp(ends),
+                    givenUp,
                     outcome);
         }
     }
@@ -180,6 +213,7 @@
         listener.beforeReport();
         if (result.isRight() && result.get().answer() == Answer.ACCEPTED) {
             firstPolls.onAnswered(id);
+            retries.onAnswered(id);
             scheduler.onHoldReply(id, hold, result.get().report(), receivedAtMs, clock.wallMs());
             listener.onReport();
             if (scheduler.awaitsDurability(id)) {
@@ -202,7 +236,7 @@
         if (firstPolls.isInFlight(id)) {
             firstPolls.onFailed(id);
         } else {
-            pollLater(id, PoolTiming.HOLD_RETRY_MS);
+            pollLater(id, retries.delayMs(id, silent, scheduler.leasesEndMs(id), clock.nowMs()));
         }
     }
 
--- a/library/src/test/java/io/radishspindle/pool/runtime/LateHoldAnswerTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/LateHoldAnswerTest.java
@@ -22,7 +22,6 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
@@ -161,7 +160,6 @@
         pool.close();
     }
 
-    @Tag("known-red")
     @ParameterizedTest
     @EnumSource
     void should_apply_an_end_that_was_listed_before_the_runs_of_the_worker_are_given_up(Congested congested)
