--- a/library/src/test/java/io/radishspindle/pool/core/PoolSimulation.java
+++ b/library/src/test/java/io/radishspindle/pool/core/PoolSimulation.java
@@ -112,6 +112,11 @@
     /** Reasons of the stops that were sent. */
     final List<String> stopReasons = new ArrayList<>();
 
+    /** Workers that were given up with all their runs. */
+    final List<PoolAction.WorkerLost> losses = new ArrayList<>();
+    /** Number of answers to holds that arrived after the holds had failed. */
+    int lateAnswers;
+
     /** Reported waits beside room. */
     final List<PoolAction.TaskDelayed> delays = new ArrayList<>();
 
@@ -458,6 +463,10 @@
         SentHold hold = owner.holdOrder(id, nowMs, ownToken);
         HoldOrder order = hold.order();
         long sentAtMs = nowMs;
+        if (worker.congestionMs > 0) {
+            pollThroughCongestion(worker, hold, owner, ownToken);
+            return;
+        }
         long bootWallMs = worker.bootWallMs;
         long waitMs = worker.hasEnds() ? 0 : Math.min(order.waitMs(), 200);
         worker.onCrash = () -> after(breakMs(worker), () -> onHoldBroken(worker, owner, ownToken, sentAtMs));
@@ -484,6 +493,44 @@
         });
     }
 
+    /** The hold fails when its answer is overdue; the answer is applied nevertheless when it arrives. */
+    private void pollThroughCongestion(SimWorker worker, SentHold hold, PoolScheduler owner, long ownToken) {
+        String id = worker.entry.id();
+        long bootWallMs = worker.bootWallMs;
+        boolean[] resolved = {false};
+        worker.onCrash = () -> {};
+        after(hold.dueMs() - nowMs, () -> {
+            if (!resolved[0] && owner == scheduler) {
+                resolved[0] = true;
+                owner.onHoldFailed(id, hold.sentAtMs(), nowMs, false);
+                after(PoolTiming.HOLD_RETRY_MS, () -> poll(id, owner, ownToken));
+            }
+        });
+        after(delay(worker), () -> {
+            boolean lost = worker.isDown || worker.unreachable || worker.bootWallMs != bootWallMs;
+            if (lost || worker.hold(hold.order(), nowMs) != Answer.ACCEPTED) {
+                return;
+            }
+            var report = worker.report(nowMs);
+            after(delay(worker), () -> {
+                if (owner != scheduler || nowMs > hold.relevantUntilMs()) {
+                    return;
+                }
+                owner.onHoldReply(id, hold, report, nowMs, nowMs);
+                lateAnswers += resolved[0] ? 1 : 0;
+                if (!resolved[0]) {
+                    resolved[0] = true;
+                    long pauseMs = owner.awaitsDurability(id) ? PoolTiming.ACK_RETRY_MS : 1;
+                    after(pauseMs, () -> poll(id, owner, ownToken));
+                }
+            });
+        });
+    }
+
+    private long delay(SimWorker worker) {
+        return latency() + (worker.congestionMs > 0 ? random.nextLong(worker.congestionMs) : 0);
+    }
+
     /** Time until a call to a worker that is down has failed. */
     private long breakMs(SimWorker worker) {
         return crashesSilently && !worker.isReplaced ? SILENCE_TIMEOUT_MS : latency();
@@ -526,6 +573,8 @@
                     owner.onStopReply(stop.worker().id(), stop.run(), answer, nowMs);
                 }
             });
+        } else if (action instanceof PoolAction.WorkerLost lost) {
+            losses.add(lost);
         } else if (action instanceof PoolAction.TaskDelayed delayed) {
             delays.add(delayed);
         } else if (action instanceof PoolAction.Advise advise) {
@@ -549,6 +598,10 @@
             after(latency(), () -> onAnswer.accept(Answer.UNHEALTHY));
             return;
         }
+        if (worker.congestionMs > 0) {
+            sendThroughCongestion(worker, order, onAnswer);
+            return;
+        }
         long bootWallMs = worker.bootWallMs;
         if (random.nextDouble() < lateOrderProbability) {
             // A delayed order is lost if the worker restarts.
@@ -575,6 +628,26 @@
         });
     }
 
+    /** The order is executed when it arrives, also after the time within which its answer is awaited. */
+    private void sendThroughCongestion(
+            SimWorker worker, Function<SimWorker, Answer> order, Consumer<@Nullable Answer> onAnswer) {
+        long bootWallMs = worker.bootWallMs;
+        boolean[] resolved = {false};
+        Consumer<@Nullable Answer> once = answer -> {
+            if (!resolved[0]) {
+                resolved[0] = true;
+                onAnswer.accept(answer);
+            }
+        };
+        after(SILENCE_TIMEOUT_MS, () -> once.accept(null));
+        after(delay(worker), () -> {
+            if (!worker.isDown && !worker.unreachable && worker.bootWallMs == bootWallMs) {
+                Answer answer = order.apply(worker);
+                after(delay(worker), () -> once.accept(answer));
+            }
+        });
+    }
+
     private Answer startOn(SimWorker worker, StartOrder order) {
         PoolJob job = storedJobs.get(order.run().task().jobId());
         StepSpec step = job.steps().get(order.run().task().step());
--- a/library/src/test/java/io/radishspindle/pool/core/SimHistory.java
+++ b/library/src/test/java/io/radishspindle/pool/core/SimHistory.java
@@ -19,6 +19,10 @@
 final class SimHistory {
     private final Map<TaskName, Set<String>> running = new HashMap<>();
     private final Set<TaskName> acknowledgedSuccess = new HashSet<>();
+    private final Set<TaskName> listedSuccess = new HashSet<>();
+    /** Runs that started after their worker had listed a success of the task. */
+    final List<Run> startsAfterListedSuccess = new ArrayList<>();
+
     final Set<TaskName> succeeded = new HashSet<>();
     final List<String> violations = new ArrayList<>();
     final Map<TaskName, Long> firstStartMs = new HashMap<>();
@@ -75,6 +79,9 @@
         if (acknowledgedSuccess.contains(run.task())) {
             violation(run + " started after its success was acknowledged");
         }
+        if (listedSuccess.contains(run.task())) {
+            startsAfterListedSuccess.add(run);
+        }
         Set<String> runningOn = running.computeIfAbsent(run.task(), ignored -> new HashSet<>());
         if (!runningOn.isEmpty()) {
             violation(run + " started at " + worker + " while it ran at " + runningOn);
@@ -102,6 +109,13 @@
         running.getOrDefault(run.task(), new HashSet<>()).remove(worker);
     }
 
+    /** A worker has listed the end in an answer, which may not arrive. */
+    void listed(Run run, RunEnd end) {
+        if (end == RunEnd.DONE) {
+            listedSuccess.add(run.task());
+        }
+    }
+
     void acknowledged(Run run, RunEnd end) {
         if (end == RunEnd.DONE) {
             acknowledgedSuccess.add(run.task());
--- a/library/src/test/java/io/radishspindle/pool/core/SimWorker.java
+++ b/library/src/test/java/io/radishspindle/pool/core/SimWorker.java
@@ -80,6 +80,8 @@
     private final Map<TaskName, Integer> closedAttempts = new HashMap<>();
     WorkerEntry entry;
     boolean unreachable;
+    /** Longest time for which the link delays each call, and each answer; 0 if it isn't congested. */
+    long congestionMs;
     /** Every run that is started fails. */
     boolean failsStarts;
 
@@ -254,6 +256,7 @@
     }
 
     WorkerReport report(long nowMs) {
+        ended.forEach(end -> history.listed(end.run(), end.end()));
         List<RunningTask> present = new ArrayList<>();
         running.values()
                 .forEach(active -> present.add(new RunningTask(active.run, "", 100, active.resources.milliCores())));
