Never let the registration of a worker go back

RegisteredWorkers applied whatever came last: a worker got an earlier address, capacity or incarnation, or was removed, until its next change, and its holds went to an address that another worker may have by now.

Items are compared by their revisions now, also with removed ones until the next listing. The four tests of older items failed before.

A listing that lacks a worker still removes it, whatever its revision: PrefixWatch doesn't pass on the revision of a listing.

--- a/library/src/main/java/io/radishspindle/pool/runtime/RegisteredWorkers.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/RegisteredWorkers.java
@@ -14,13 +14,17 @@
  * Tracks the entries that workers register in the store, and reports changes to the owners of their slices on this VM.
  * Confined to one event loop.
  *
- * <p>Invariant: an entry that can't be decoded counts as absent, also if it replaces the entry of a worker.
+ * <p>Invariants: an entry that can't be decoded counts as absent, also if it replaces the entry of a worker. The entry of
+ * a worker never goes back: the pages of a listing are no snapshot, so that the watch that follows it may begin with
+ * changes that are older than some of its items.
  */
 final class RegisteredWorkers implements PrefixWatch.Listener {
     private final PlatformCodec codec;
     private final PoolSlices slices;
     private final Function<String, Optional<PoolOwner>> ownerOfSlice;
     private final Map<String, WorkerEntry> workers = new HashMap<>();
+    /** Revision of the last change of each entry that was listed last or has changed since, also of removed ones. */
+    private final Map<String, Long> revisions = new HashMap<>();
 
     RegisteredWorkers(PlatformCodec codec, PoolSlices slices, Function<String, Optional<PoolOwner>> ownerOfSlice) {
         this.codec = codec;
@@ -37,6 +41,7 @@
 
     void clear() {
         workers.clear();
+        revisions.clear();
     }
 
     @Override
@@ -45,17 +50,23 @@
         List.copyOf(workers.keySet()).stream()
                 .filter(id -> !present.contains(id))
                 .forEach(this::onRemoved);
+        revisions.keySet().retainAll(present);
         items.forEach(this::onChanged);
     }
 
     @Override
     public void onChanged(Item item) {
+        String id = id(item.key());
+        if (item.revision() < revisions.getOrDefault(id, 0L)) {
+            return;
+        }
+        revisions.put(id, item.revision());
         byte[] value = item.value();
         if (value == null) {
-            onRemoved(id(item.key()));
+            onRemoved(id);
             return;
         }
-        codec.worker(item.key(), value).ifPresentOrElse(this::onRegistered, () -> onRemoved(id(item.key())));
+        codec.worker(item.key(), value).ifPresentOrElse(this::onRegistered, () -> onRemoved(id));
     }
 
     private void onRegistered(WorkerEntry entry) {
--- a/library/src/test/java/io/radishspindle/pool/runtime/RegisteredWorkersTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/RegisteredWorkersTest.java
@@ -8,15 +8,22 @@
 import io.radishspindle.pool.port.SharedStore.Item;
 import java.util.List;
 import java.util.Optional;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Guards against an unreadable entry that counts as a worker because a readable one was there before. */
+/**
+ * Guards against an unreadable entry that counts as a worker because a readable one was there before, and against an
+ * entry that goes back: the watch begins at the revision of the first page of a listing, later pages are newer.
+ */
 class RegisteredWorkersTest {
     private static final String POOL = "desk";
     private static final byte[] READABLE = {1};
     private static final byte[] UNREADABLE = {0};
+    /** An entry with another address. */
+    private static final byte[] LONGER = {1, 1};
 
     /** Decodes every entry that isn't empty and begins with 1. */
     private static final class Codec implements PlatformCodec {
@@ -38,7 +45,7 @@
                             key.substring(workerPrefix().length()),
                             POOL,
                             "10.0.0.1",
-                            80,
+                            80 + value.length,
                             "dc",
                             "r",
                             false,
@@ -64,7 +71,78 @@
     }
 
     private static Item item(String id, byte[] value) {
-        return new Item("workers/" + id, value, 2);
+        return item(id, value, 2);
+    }
+
+    private static Item item(String id, byte @Nullable [] value, long revision) {
+        return new Item("workers/" + id, value, revision);
+    }
+
+    private List<Integer> ports() {
+        return workers.of(POOL).stream().map(WorkerEntry::port).toList();
+    }
+
+    @Test
+    void should_ignore_an_older_entry_from_the_watch() {
+        // given
+        workers.onListed(List.of(item("a", LONGER, 20)));
+
+        // when
+        workers.onChanged(item("a", READABLE, 15));
+
+        // then
+        assertThat(ports()).containsExactly(80 + LONGER.length);
+    }
+
+    @Test
+    void should_ignore_an_older_removal_from_the_watch() {
+        // given
+        workers.onListed(List.of(item("a", LONGER, 20)));
+
+        // when
+        workers.onChanged(item("a", null, 15));
+
+        // then
+        assertThat(ports()).containsExactly(80 + LONGER.length);
+    }
+
+    @Test
+    void should_ignore_an_older_entry_of_a_worker_that_was_removed() {
+        // given
+        workers.onListed(List.of(item("a", READABLE, 10)));
+        workers.onChanged(item("a", null, 20));
+
+        // when
+        workers.onChanged(item("a", READABLE, 15));
+
+        // then
+        assertThat(ports()).isEmpty();
+    }
+
+    @Test
+    void should_ignore_an_older_entry_in_a_listing() {
+        // given
+        workers.onListed(List.of(item("a", READABLE, 10)));
+        workers.onChanged(item("a", LONGER, 20));
+
+        // when
+        workers.onListed(List.of(item("a", READABLE, 15)));
+
+        // then
+        assertThat(ports()).containsExactly(80 + LONGER.length);
+    }
+
+    @Test
+    void should_take_the_entry_of_a_worker_that_registers_again() {
+        // given
+        workers.onListed(List.of(item("a", READABLE, 10)));
+        workers.onChanged(item("a", null, 20));
+
+        // when
+        workers.onChanged(item("a", LONGER, 30));
+
+        // then
+        assertThat(ports()).containsExactly(80 + LONGER.length);
     }
 
     @ParameterizedTest
