Count an answer for the address that was polled

An answer 421 from another worker at the address of a worker releases all runs of that worker at once, if it has last answered at this address: an address is reassigned only after a worker has ended. The owner noted the registration at the arrival of an answer, not that to whose address the hold was sent. If the registration changed in between, for a hold that waits or is late up to seconds, the new address counted as proven, and an answer 421 from there (an entry that goes back, or comes from another writer) released runs that were at work: TWICE.

A hold carries the registration that it polls. The test failed before: the task started on a second worker.

--- a/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
@@ -270,14 +270,14 @@
         if (worker == null) {
             long dueMs = nowMs + PoolTiming.HOLD_ANSWER_MS;
             HoldOrder order = new HoldOrder(0, fencingToken, 0, 0);
-            return new SentHold(order, nowMs, dueMs, dueMs, EventSequence.BEFORE_ALL);
+            return new SentHold(null, order, nowMs, dueMs, dueMs, EventSequence.BEFORE_ALL);
         }
         HoldOrder order = holdOrder(worker, nowMs, fencingToken);
         long dueMs = nowMs + order.waitMs() + PoolTiming.HOLD_ANSWER_MS;
         // A start may extend the lease while the answer isn't overdue.
         long relevantUntilMs = mayReportNews(worker, nowMs) ? dueMs + WorkerState.LONGEST_LEASE_MS : dueMs;
         worker.lastHoldNumber = worker.calls.next();
-        return new SentHold(order, nowMs, dueMs, relevantUntilMs, worker.lastHoldNumber);
+        return new SentHold(worker.entry, order, nowMs, dueMs, relevantUntilMs, worker.lastHoldNumber);
     }
 
     /** Whether the worker may report runs, or ends of runs, that this owner doesn't know or hasn't given up. */
--- a/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
+++ b/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
@@ -110,7 +110,7 @@
         worker.bootWallMs = report.bootWallMs();
         worker.answered = true;
         worker.replaced = false;
-        worker.entryAtLastAnswer = worker.entry;
+        worker.entryAtLastAnswer = hold.polled();
         worker.onAnswered(hold, nowMs);
         worker.onClock(hold, report.clockMs(), nowMs);
         worker.reports.onApplied(hold, report, worker.calls.next());
--- a/library/src/main/java/io/radishspindle/pool/core/WorkerState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/WorkerState.java
@@ -42,7 +42,7 @@
     boolean answered;
     /** Whether this owner knows all runs and ends that earlier owners left on the worker. */
     boolean hasReportedAll;
-    /** The registration that was current at the last answer, to this owner or to an earlier one. */
+    /** The registration at whose address the worker gave the last answer, to this owner or to an earlier one. */
     @Nullable
     WorkerEntry entryAtLastAnswer;
 
--- a/library/src/test/java/io/radishspindle/pool/core/ReplacedWorkerTest.java
+++ b/library/src/test/java/io/radishspindle/pool/core/ReplacedWorkerTest.java
@@ -94,6 +94,26 @@
         assertThat(startedOn()).containsExactly("second");
     }
 
+    /** Guards against runs that are released since another worker has an address at which theirs never was. */
+    @Test
+    void should_wait_for_the_leases_when_the_registration_changes_before_the_answer_of_the_worker_arrives() {
+        // given an answer from the earlier address
+        runTask();
+        SentHold hold = scheduler.holdOrder("first", nowMs, 1);
+        WorkerEntry moved = entry("first", 90, 2_000);
+        scheduler.onWorkerRegistered(moved, nowMs);
+        List<RunningTask> running = List.of(new RunningTask(RUN, "", 100, 2_000));
+        scheduler.onHoldReply("first", hold, new WorkerReport(1, nowMs, running, List.of()), nowMs, nowMs);
+
+        // when
+        breakOff();
+        scheduler.onWorkerReplaced(moved, nowMs, nowMs);
+        answer("second");
+
+        // then
+        assertThat(startedOn()).isEmpty();
+    }
+
     /** Guards against a second crash under a task of which a new owner would know nothing. */
     @Test
     void should_start_a_task_that_may_have_crashed_its_worker_only_once_that_is_durable() {
--- a/library/src/test/java/io/radishspindle/pool/runtime/HoldCallsTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/HoldCallsTest.java
@@ -81,7 +81,7 @@
 
     private void send(long number) {
         HoldOrder order = new HoldOrder(0, 1, 0, 0);
-        calls.send(WORKER, new SentHold(order, 0, DUE_MS, RELEVANT_MS, number));
+        calls.send(WORKER, new SentHold(WORKER, order, 0, DUE_MS, RELEVANT_MS, number));
     }
 
     private void sendUntilOverdue(int number) throws Exception {
