Test: random faults with congested links and overlapping holds

PoolInvariantsTest plays its faults (silent and restarting workers, changes of owner, outages of the store, late orders) with crashes and with links that delay calls and answers by up to 4 s.

--- a/library/src/test/java/io/radishspindle/pool/core/PoolInvariantsTest.java
+++ b/library/src/test/java/io/radishspindle/pool/core/PoolInvariantsTest.java
@@ -29,6 +29,8 @@
     /** A worker restarted while unreachable; the sequence number of an old end acknowledged an unreported new end. */
     private static final long RESTART_WHILE_UNREACHABLE_SEED = 153;
 
+    private static final long MAX_CONGESTION_MS = 4_000;
+
     private static final Map<String, Resources> QUOTAS = Map.of(
             "cores", new Resources(30_000, 1_000_000, 1_000),
             "accelerators", new Resources(1_000_000, 1_000_000, 10));
@@ -83,6 +85,19 @@
         assertThat(run(pool, TENANTS, PoolInvariantsTest::injectFault, END_MS)).isGreaterThan(300);
     }
 
+    /** Guards against reports that are applied in the wrong order, when holds overlap on congested links. */
+    @ParameterizedTest
+    @MethodSource("seedsAndRunTimes")
+    void should_run_each_task_once_at_a_time_while_links_are_congested(long seed, boolean learned) {
+        // given
+        PoolSimulation pool = simulation(seed, learned);
+
+        // then
+        assertThat(run(pool, List.of(), PoolInvariantsTest::injectCongestion, END_AFTER_LAPSES_MS))
+                .isGreaterThan(300);
+        assertThat(pool.lateAnswers).isPositive();
+    }
+
     private static PoolSimulation simulation(long seed, boolean learned) {
         return new PoolSimulation(seed, learned ? LearnedRunTimes::new : DeclaredRunTimes::new);
     }
@@ -104,7 +119,10 @@
             faults.accept(pool);
             pool.runUntil(pool.nowMs + 250);
         }
-        pool.workers.values().forEach(worker -> worker.unreachable = false);
+        pool.workers.values().forEach(worker -> {
+            worker.unreachable = false;
+            worker.congestionMs = 0;
+        });
         pool.storeUnavailable = false;
         pool.lateOrderProbability = 0;
         pool.lostAnswerProbability = 0;
@@ -154,6 +172,18 @@
         }
     }
 
+    private static void injectCongestion(PoolSimulation pool) {
+        switch (pool.random().nextInt(12)) {
+            case 0 ->
+                pool.randomWorkers(pool.random().nextInt(5))
+                        .forEach(worker ->
+                                worker.congestionMs = 1 + pool.random().nextLong(MAX_CONGESTION_MS));
+            case 1 -> pool.workers.values().forEach(worker -> worker.congestionMs = 0);
+            case 2 -> pool.randomWorkers(1).forEach(pool::crash);
+            default -> injectFault(pool);
+        }
+    }
+
     private static void injectFault(PoolSimulation pool) {
         List<SimWorker> workers = List.copyOf(pool.workers.values());
         SimWorker worker = workers.get(pool.random().nextInt(workers.size()));
