Reckon the expiry of a lease from a lower bound of the worker's clock

A lease ends 5.5 s after the estimated time on the worker's clock, which took the clock as exact since it was last read. A slow one is 2% behind, so that the lease was longer than 5.5 s by 2% of the time since the reading. The owner allowed for that, but the recovery of the next owner assumes 5.5 s; and the reading is kept for as long as all answers are late. The test failed before (5,560 ms after the first late answer). The bound of the owner is now the same at each grant: 5.5 s by a slow clock, and the margin.

Measured tests: OverlappingHoldsTest, LateHoldAnswerTest and those of leases, restarts and paused owners pass.

--- a/library/src/main/java/io/radishspindle/pool/core/WorkerState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/WorkerState.java
@@ -245,8 +245,7 @@
 
     /** Applies the worker's clock in a report, unless the report was made longer ago than the last one shows. */
     void onClock(SentHold hold, long reportedMs, long nowMs) {
-        boolean behind = reportedMs < clockMs + (long) ((nowMs - clockAtMs) * PoolTiming.MIN_CLOCK_RATE);
-        if (!isLate(hold) || !behind) {
+        if (!isLate(hold) || reportedMs >= leastClockMs(nowMs)) {
             clockMs = reportedMs;
             clockAtMs = nowMs;
         }
@@ -262,12 +261,13 @@
 
     /** Grants a lease: returns its expiry on the worker's clock and raises the bound on the owner's clock. */
     long grantLease(long nowMs, LeaseSource source) {
-        long sinceAnswerMs = nowMs - clockAtMs;
-        long boundMs = clockAtMs
-                + (long) Math.ceil((sinceAnswerMs + PoolTiming.LEASE_MS) / PoolTiming.MIN_CLOCK_RATE)
-                + PoolTiming.LEASE_MARGIN_MS;
-        raiseLeaseBound(boundMs, source);
+        raiseLeaseBound(nowMs + LONGEST_LEASE_MS, source);
         grantedSinceArrival = true;
-        return clockMs + sinceAnswerMs + PoolTiming.LEASE_MS;
+        return leastClockMs(nowMs) + PoolTiming.LEASE_MS;
+    }
+
+    /** The worker's clock, or less: it may be slow. So no lease is longer than the usual one on that clock. */
+    private long leastClockMs(long nowMs) {
+        return clockMs + (long) ((nowMs - clockAtMs) * PoolTiming.MIN_CLOCK_RATE);
     }
 }
