--- a/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
@@ -7,6 +7,7 @@
 import io.radishspindle.pool.model.TaskName;
 import io.radishspindle.pool.model.WorkerEntry;
 import io.radishspindle.pool.model.WorkerReport;
+import io.radishspindle.pool.model.WorkerReport.EndedRun;
 import io.radishspindle.pool.port.AdviceService.Advice;
 import io.radishspindle.pool.port.WorkerControl.Answer;
 import io.radishspindle.pool.port.WorkerControl.HoldOrder;
@@ -50,6 +51,7 @@
     private final ProgressLedger progress;
     private final Recovery recovery;
     private final ActiveRuns activeRuns = new ActiveRuns();
+    private final GivenUpRuns givenUp = new GivenUpRuns();
     private final Quorum quorum;
     private final StartPermission permission;
     private final TenantOrder order;
@@ -79,7 +81,8 @@
                 this::tenantOf,
                 attribution,
                 new FailureAttribution(workers, actions),
-                trials);
+                trials,
+                givenUp);
         progress = new ProgressLedger(jobs, workers, dirty);
         order = new TenantOrder(options.weights());
         recovery = new Recovery(workers, unfinished, options.limits(), options.roster());
@@ -235,6 +238,12 @@
         return worker != null && worker.hasEverAnswered();
     }
 
+    /** Returns the time on the owner's clock by which all leases granted to the worker have expired. */
+    public long leasesEndMs(String workerId) {
+        WorkerState worker = workers.get(workerId);
+        return worker == null ? 0 : worker.leaseBoundMs;
+    }
+
     /** Returns whether the worker may have runs, of this owner or of an earlier one. */
     public boolean mayHaveRuns(String workerId, long nowMs) {
         WorkerState worker = workers.get(workerId);
@@ -259,18 +268,36 @@
     public SentHold holdOrder(String workerId, long nowMs, long fencingToken) {
         WorkerState worker = workers.get(workerId);
         if (worker == null) {
-            return new SentHold(new HoldOrder(0, fencingToken, 0, 0), nowMs, EventSequence.BEFORE_ALL);
+            long dueMs = nowMs + PoolTiming.HOLD_ANSWER_MS;
+            HoldOrder order = new HoldOrder(0, fencingToken, 0, 0);
+            return new SentHold(null, order, nowMs, dueMs, dueMs, EventSequence.BEFORE_ALL);
         }
-        return new SentHold(holdOrder(worker, nowMs, fencingToken), nowMs, worker.calls.next());
+        HoldOrder order = holdOrder(worker, nowMs, fencingToken);
+        long dueMs = nowMs + order.waitMs() + PoolTiming.HOLD_ANSWER_MS;
+        // A start may extend the lease while the answer isn't overdue.
+        long relevantUntilMs = mayReportNews(worker, nowMs) ? dueMs + WorkerState.LONGEST_LEASE_MS : dueMs;
+        worker.lastHoldNumber = worker.calls.next();
+        return new SentHold(worker.entry, order, nowMs, dueMs, relevantUntilMs, worker.lastHoldNumber);
+    }
+
+    /** Whether the worker may report runs, or ends of runs, that this owner doesn't know or hasn't given up. */
+    private boolean mayReportNews(WorkerState worker, long nowMs) {
+        boolean mayGetStarts = worker.answered && !worker.lastHoldFailed;
+        return mayGetStarts || !worker.runs.isEmpty() || recovery.awaits(worker, nowMs);
+    }
+
+    /** Returns how many of these ends are of runs that were given up without a report of their end. */
+    public int countGivenUp(List<EndedRun> ends) {
+        return (int)
+                ends.stream().filter(ended -> givenUp.contains(ended.run())).count();
     }
 
     private HoldOrder holdOrder(WorkerState worker, long nowMs, long fencingToken) {
         if (!worker.answered) {
             return new HoldOrder(0, fencingToken, 0, 0);
         }
-        // A worker that may be unreachable gets no further lease, so that its runs end at a known time.
-        boolean renew = !worker.runs.isEmpty() && !worker.lastHoldFailed && hasQuorum(nowMs);
-        long leaseEnd = renew ? worker.grantLease(nowMs) : 0;
+        boolean renew = worker.mayRenewLease() && hasQuorum(nowMs);
+        long leaseEnd = renew ? worker.grantLease(nowMs, LeaseSource.HOLD) : 0;
         boolean mayWait = worker.appliedSequence == worker.durableSequence && !worker.lastHoldFailed;
         // The worker may have restarted since its last answer and may use the same sequence numbers again.
         long acknowledged = worker.lastHoldFailed ? 0 : worker.durableSequence;
@@ -284,19 +311,21 @@
     }
 
     /**
-     * Applies the report of a worker.
+     * Applies the report of a worker, which may arrive after the hold has failed, or after reports to later holds.
      *
      * @param hold the hold that requested it, from {@link #holdOrder}; runs that were resolved after it was sent may be
      *     missing from the report
      */
-    public void onHoldReply(String workerId, SentHold hold, WorkerReport report, long nowMs, long wallMs) {
+    public ReportOrder onHoldReply(String workerId, SentHold hold, WorkerReport report, long nowMs, long wallMs) {
         WorkerState worker = workers.get(workerId);
-        if (worker != null) {
-            events.onReport(worker, hold, report, nowMs, wallMs);
-            if (hold.sentAtMs() < trustedFromMs) {
-                worker.distrustAnswers(trustedFromMs);
-            }
+        if (worker == null) {
+            return ReportOrder.OTHER_INCARNATION;
+        }
+        ReportOrder order = events.onReport(worker, hold, report, nowMs, wallMs);
+        if (hold.sentAtMs() < trustedFromMs) {
+            worker.distrustAnswers(trustedFromMs);
         }
+        return order;
     }
 
     /**
@@ -312,8 +341,7 @@
                 worker.brokenOff = brokenOff;
                 attribution.onBroken(worker, nowMs);
             }
-            worker.lastHoldFailed = true;
-            worker.failedHoldSentAtMs = sentAtMs;
+            worker.onHoldFailed(sentAtMs);
         }
     }
 
@@ -329,9 +357,11 @@
         }
         worker.answered = false;
         worker.replaced = true;
+        worker.reports.onReplaced(worker.calls.next());
         worker.hasReportedAll = false;
         worker.bootWallMs = UNKNOWN_BOOT_MS;
         worker.leaseBoundMs = nowMs;
+        worker.leaseSource = LeaseSource.NONE;
         worker.appliedSequence = 0;
         worker.durableSequence = 0;
         events.onLeasesExpired(worker, "another worker has its address", nowMs, wallMs);
--- a/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
+++ b/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
@@ -47,6 +47,7 @@
     private final CrashAttribution attribution;
     private final FailureAttribution failures;
     private final Trials trials;
+    private final GivenUpRuns givenUp;
     private final Function<String, Optional<String>> tenantOf;
     private final Predicate<String> isKnown;
     private final UnknownJobEnds unknownJobEnds = new UnknownJobEnds();
@@ -67,7 +68,9 @@
             Function<String, Optional<String>> tenantOf,
             CrashAttribution attribution,
             FailureAttribution failures,
-            Trials trials) {
+            Trials trials,
+            GivenUpRuns givenUp) {
+        this.givenUp = givenUp;
         this.attribution = attribution;
         this.failures = failures;
         this.trials = trials;
@@ -80,49 +83,60 @@
         this.actions = actions;
     }
 
-    void onReport(WorkerState worker, SentHold hold, WorkerReport report, long nowMs, long wallMs) {
-        long requestedAtMs = hold.sentAtMs();
+    ReportOrder onReport(WorkerState worker, SentHold hold, WorkerReport report, long nowMs, long wallMs) {
+        boolean sameIncarnation = worker.answered && report.bootWallMs() == worker.bootWallMs;
+        ReportOrder order = worker.reports.place(hold, report, sameIncarnation);
+        if (order == ReportOrder.OTHER_INCARNATION) {
+            return order;
+        }
+        endsAreFresh = worker.answered && !worker.isLate(hold) && nowMs - worker.lastAnswerMs <= MAX_REPORT_GAP_MS;
+        if (order == ReportOrder.OLDER) {
+            worker.onAnswered(hold, nowMs);
+            applyEnds(worker, report, nowMs, wallMs);
+            return order;
+        }
         if (worker.answered && report.bootWallMs() != worker.bootWallMs) {
             onNewIncarnation(worker, report, nowMs);
         }
         if (!worker.answered) {
             // The previous owner may have granted a lease just before the worker received this owner's fencing token.
             worker.leaseBoundMs = nowMs + (long) (PoolTiming.LEASE_MS / PoolTiming.MIN_CLOCK_RATE);
+            worker.leaseSource = LeaseSource.EARLIER_OWNER;
             if (!report.running().isEmpty()) {
                 // The expiry may have been sent on the clock of an earlier incarnation.
                 worker.onClockRestarted(nowMs);
             }
         }
-        endsAreFresh = worker.answered && nowMs - worker.lastAnswerMs <= MAX_REPORT_GAP_MS;
         worker.bootWallMs = report.bootWallMs();
         worker.answered = true;
         worker.replaced = false;
-        worker.entryAtLastAnswer = worker.entry;
-        worker.lastHoldFailed = false;
-        worker.brokenAtMs = -1;
-        worker.brokenOff = false;
-        worker.lastAnswerMs = nowMs;
-        worker.tokenAcceptedAtMs = hold.sentAtMs();
-        worker.clockMs = report.clockMs();
-        worker.clockAtMs = nowMs;
-        for (EndedRun ended : report.ended()) {
-            if (ended.sequence() > worker.appliedSequence) {
-                worker.appliedSequence = ended.sequence();
-                onRunEnded(worker, ended, nowMs, wallMs);
-            }
-        }
+        worker.entryAtLastAnswer = hold.polled();
+        worker.onAnswered(hold, nowMs);
+        worker.onClock(hold, report.clockMs(), nowMs);
+        worker.reports.onApplied(hold, report, worker.calls.next());
+        applyEnds(worker, report, nowMs, wallMs);
         Map<String, RunningTask> present = new HashMap<>();
         report.running().forEach(running -> present.put(running.run().toString(), running));
         for (RunState run : List.copyOf(worker.runs.values())) {
             RunningTask running = present.remove(run.run.toString());
             if (running != null) {
-                onRunPresent(run, running, requestedAtMs, nowMs);
+                onRunPresent(run, running, hold, nowMs);
             } else if (report.isComplete() && run.mustBeIn(hold)) {
                 onRunAbsent(run, hold, nowMs, wallMs);
             }
         }
         present.values().forEach(running -> adopt(worker, running, nowMs));
         worker.hasReportedAll |= report.isComplete();
+        return order;
+    }
+
+    private void applyEnds(WorkerState worker, WorkerReport report, long nowMs, long wallMs) {
+        for (EndedRun ended : report.ended()) {
+            if (ended.sequence() > worker.appliedSequence) {
+                worker.appliedSequence = ended.sequence();
+                onRunEnded(worker, ended, nowMs, wallMs);
+            }
+        }
     }
 
     /** Applies the ends of runs that were reported before this job was known. */
@@ -159,7 +173,7 @@
     void onLeasesExpired(WorkerState worker, String reason, long nowMs, long wallMs) {
         if (!worker.runs.isEmpty()) {
             attribution.onLost(worker, List.copyOf(worker.runs.values()), nowMs);
-            actions.add(new PoolAction.WorkerChanged(worker.id(), "lost", reason));
+            actions.add(PoolAction.WorkerLost.of(worker, reason, nowMs));
             for (RunState run : List.copyOf(worker.runs.values())) {
                 lose(run, reason, EventSequence.NEVER, nowMs, wallMs);
             }
@@ -168,6 +182,7 @@
 
     /** Ends a run of which the worker reports no end, after the event of a certain number. */
     private void lose(RunState run, String reason, long shownBy, long nowMs, long wallMs) {
+        givenUp.add(run.run, nowMs);
         if (run.task != null) {
             run.task.lostRuns++;
             endExposure(run.task, run.run.attempt());
@@ -176,10 +191,13 @@
         finish(run, RunEnd.LEASE_EXPIRED, nowMs, wallMs);
     }
 
-    private void onRunPresent(RunState run, RunningTask running, long requestedAtMs, long nowMs) {
+    private void onRunPresent(RunState run, RunningTask running, SentHold hold, long nowMs) {
         run.onAccepted(nowMs);
-        attribution.onPresent(run);
-        if (!run.survivalReported && run.hasSurvivedStart(requestedAtMs)) {
+        if (!run.worker.isLate(hold)) {
+            // A late report may have been made before the worker crashed.
+            attribution.onPresent(run);
+        }
+        if (!run.survivalReported && run.hasSurvivedStart(hold.sentAtMs())) {
             run.survivalReported = true;
             if (run.task != null) {
                 run.task.onSurvivedStart();
@@ -199,7 +217,7 @@
         if (run.phase == Phase.STOPPING && nowMs - run.stopSentAtMs > STOP_RETRY_MS) {
             stop(run, nowMs, "stop retried");
         }
-        if (run.phase == Phase.RUNNING) {
+        if (run.phase == Phase.RUNNING && !run.worker.isLate(hold)) {
             checkStalled(run, running, nowMs);
         }
     }
@@ -376,6 +394,9 @@
     }
 
     private void onRunEnded(WorkerState worker, EndedRun ended, long nowMs, long wallMs) {
+        givenUp.remove(ended.run())
+                .ifPresent(givenUpAtMs -> actions.add(
+                        new PoolAction.EndAfterLoss(ended.run(), worker.entry, ended.end(), nowMs - givenUpAtMs)));
         RunState run = worker.runs.get(ended.run());
         if (run == null || run.task == null) {
             if (run != null) {
--- a/library/src/main/java/io/radishspindle/pool/core/WorkerState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/WorkerState.java
@@ -21,6 +21,13 @@
     /** The calls to the worker and the answers from it. */
     final EventSequence calls = new EventSequence();
 
+    /** Longest time for which a lease of this owner can be in force after it was granted, in milliseconds. */
+    static final long LONGEST_LEASE_MS =
+            (long) Math.ceil(PoolTiming.LEASE_MS / PoolTiming.MIN_CLOCK_RATE) + PoolTiming.LEASE_MARGIN_MS;
+
+    /** Long before every time on the owner's clock. */
+    private static final long NEVER_MS = Long.MIN_VALUE / 2;
+
     private final TenantLimits limits;
     private final WorkerRoster roster;
     private final ActiveRuns activeRuns;
@@ -35,7 +42,7 @@
     boolean answered;
     /** Whether this owner knows all runs and ends that earlier owners left on the worker. */
     boolean hasReportedAll;
-    /** The registration that was current at the last answer, to this owner or to an earlier one. */
+    /** The registration at whose address the worker gave the last answer, to this owner or to an earlier one. */
     @Nullable
     WorkerEntry entryAtLastAnswer;
 
@@ -44,17 +51,32 @@
     long brokenAtMs = -1;
     /** That hold was broken off or its connection refused, so that the worker's VM answers but the worker doesn't. */
     boolean brokenOff;
+    /** Number of holds that have failed since the last answer. */
+    int failedHolds;
     /** The trial for which the worker is closed to other starts. */
     final WorkerTrial trial = new WorkerTrial();
 
-    long lastAnswerMs;
+    /** When the last hold was answered in time. */
+    long lastAnswerMs = NEVER_MS;
+    /** When an answer of this incarnation last arrived, in time or late. */
+    long lastArrivalMs = NEVER_MS;
+    /** A lease was granted after that. */
+    boolean grantedSinceArrival;
     /** The worker has accepted the token of this owner at this time or later: when its last answered hold was sent. */
-    long tokenAcceptedAtMs;
+    long tokenAcceptedAtMs = NEVER_MS;
+    /** The order of the reports that were applied. */
+    final ReportSequence reports = new ReportSequence();
+    /** Numbers of the last hold and of the last one that has failed. */
+    long lastHoldNumber = EventSequence.BEFORE_ALL;
+
+    private long failedHoldNumber = EventSequence.BEFORE_ALL;
 
     long clockMs;
     long clockAtMs;
     /** Time on the owner's clock at which all leases granted to the worker have certainly expired. */
     long leaseBoundMs;
+    /** What has set that time. */
+    LeaseSource leaseSource = LeaseSource.NONE;
     /** Time at which the last failed hold was sent. */
     long failedHoldSentAtMs = Long.MIN_VALUE;
     /** Highest sequence number of an end that was applied. */
@@ -172,7 +194,7 @@
 
     /** Whether all leases that this owner granted have expired without a sign of life. */
     boolean isLost(long nowMs) {
-        boolean unresponsive = !answered || nowMs - lastAnswerMs > PoolTiming.UNRESPONSIVE_AFTER_MS;
+        boolean unresponsive = !answered || nowMs - lastArrivalMs > PoolTiming.UNRESPONSIVE_AFTER_MS;
         // Requires a failed hold after the expiry, so that an owner short of processor time doesn't miss an end.
         boolean polledSince = failedHoldSentAtMs >= leaseBoundMs;
         return unresponsive && nowMs > leaseBoundMs && (polledSince || runs.isEmpty());
@@ -181,16 +203,71 @@
     /** An expiry that was sent on the clock of an earlier incarnation is shortened to the longest lease. */
     void onClockRestarted(long nowMs) {
         long boundMs = nowMs + (long) Math.ceil(maxLeaseMs / PoolTiming.MIN_CLOCK_RATE);
-        leaseBoundMs = Math.max(leaseBoundMs, boundMs + PoolTiming.LEASE_MARGIN_MS);
+        raiseLeaseBound(boundMs + PoolTiming.LEASE_MARGIN_MS, LeaseSource.EARLIER_INCARNATION);
+    }
+
+    private void raiseLeaseBound(long boundMs, LeaseSource source) {
+        if (boundMs > leaseBoundMs) {
+            leaseBoundMs = boundMs;
+            leaseSource = source;
+        }
+    }
+
+    /** The last hold has failed: its answer is overdue, its connection broke, or it was rejected. */
+    void onHoldFailed(long sentAtMs) {
+        lastHoldFailed = true;
+        failedHolds++;
+        failedHoldSentAtMs = sentAtMs;
+        failedHoldNumber = lastHoldNumber;
+    }
+
+    /** Whether the answer to this hold comes after the hold has failed. */
+    boolean isLate(SentHold hold) {
+        return hold.number() <= failedHoldNumber;
+    }
+
+    /**
+     * Applies that the worker has answered a hold. A late answer shows that the worker was alive, but not that holds
+     * sent from now on are answered in time.
+     */
+    void onAnswered(SentHold hold, long nowMs) {
+        lastArrivalMs = nowMs;
+        grantedSinceArrival = false;
+        tokenAcceptedAtMs = Math.max(tokenAcceptedAtMs, hold.sentAtMs());
+        if (!isLate(hold)) {
+            lastAnswerMs = nowMs;
+            lastHoldFailed = false;
+            failedHolds = 0;
+            brokenAtMs = -1;
+            brokenOff = false;
+        }
+    }
+
+    /** Applies the worker's clock in a report, unless the report was made longer ago than the last one shows. */
+    void onClock(SentHold hold, long reportedMs, long nowMs) {
+        if (!isLate(hold) || reportedMs >= leastClockMs(nowMs)) {
+            clockMs = reportedMs;
+            clockAtMs = nowMs;
+        }
+    }
+
+    /**
+     * Whether the next hold may renew the lease. A worker that may be unreachable gets no further one until something
+     * arrives from it, so that its runs end at a known time.
+     */
+    boolean mayRenewLease() {
+        return !runs.isEmpty() && (!lastHoldFailed || (lastArrivalMs > brokenAtMs && !grantedSinceArrival));
     }
 
     /** Grants a lease: returns its expiry on the worker's clock and raises the bound on the owner's clock. */
-    long grantLease(long nowMs) {
-        long sinceAnswerMs = nowMs - clockAtMs;
-        long boundMs = clockAtMs
-                + (long) Math.ceil((sinceAnswerMs + PoolTiming.LEASE_MS) / PoolTiming.MIN_CLOCK_RATE)
-                + PoolTiming.LEASE_MARGIN_MS;
-        leaseBoundMs = Math.max(leaseBoundMs, boundMs);
-        return clockMs + sinceAnswerMs + PoolTiming.LEASE_MS;
+    long grantLease(long nowMs, LeaseSource source) {
+        raiseLeaseBound(nowMs + LONGEST_LEASE_MS, source);
+        grantedSinceArrival = true;
+        return leastClockMs(nowMs) + PoolTiming.LEASE_MS;
+    }
+
+    /** The worker's clock, or less: it may be slow. So no lease is longer than the usual one on that clock. */
+    private long leastClockMs(long nowMs) {
+        return clockMs + (long) ((nowMs - clockAtMs) * PoolTiming.MIN_CLOCK_RATE);
     }
 }
--- a/library/src/main/java/io/radishspindle/pool/runtime/WorkerSessions.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/WorkerSessions.java
@@ -5,9 +5,12 @@
 import io.radishspindle.platform.Clock;
 import io.radishspindle.pool.core.PoolScheduler;
 import io.radishspindle.pool.core.PoolTiming;
+import io.radishspindle.pool.core.ReportOrder;
 import io.radishspindle.pool.core.SentHold;
 import io.radishspindle.pool.model.Run;
+import io.radishspindle.pool.model.RunEnd;
 import io.radishspindle.pool.model.WorkerEntry;
+import io.radishspindle.pool.model.WorkerReport.EndedRun;
 import io.radishspindle.pool.port.WorkerControl;
 import io.radishspindle.pool.port.WorkerControl.Answer;
 import io.radishspindle.pool.port.WorkerControl.HoldReply;
@@ -18,6 +21,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
@@ -38,6 +42,9 @@
         /** A change may allow new scheduling decisions. */
         void onReport();
 
+        /** A hold was answered after its answer was due. */
+        void onLateReply();
+
         /** A worker has seen a higher fencing token. */
         void onSuperseded(String reason);
     }
@@ -49,12 +56,15 @@
 
     private final Clock clock;
     private final WorkerControl control;
+    private final HoldCalls holds;
     private final PoolScheduler scheduler;
     private final long fencingToken;
     private final BoundedLog log;
     private final Listener listener;
     /** Ids of the workers that are polled. */
     private final Set<String> polled = new HashSet<>();
+
+    private final HoldRetries retries = new HoldRetries();
     /** Reports that were received before the jobs of the pool were loaded. */
     private final List<Runnable> buffered = new ArrayList<>();
 
@@ -74,6 +84,7 @@
         portions = new PortionedTasks(vertx, clock);
         this.clock = clock;
         this.control = control;
+        holds = new HoldCalls(vertx, control, new HoldListener());
         this.scheduler = scheduler;
         this.fencingToken = fencingToken;
         this.log = log;
@@ -82,6 +93,7 @@
 
     void close() {
         closed = true;
+        holds.close();
         portions.clear();
         firstPolls.clear();
         buffered.clear();
@@ -118,21 +130,79 @@
         WorkerEntry worker = scheduler.worker(id).orElse(null);
         if (closed || worker == null) {
             polled.remove(id);
+            retries.onAnswered(id);
             firstPolls.onAnswered(id);
             return;
         }
-        SentHold hold = scheduler.holdOrder(id, clock.nowMs(), fencingToken);
-        control.hold(worker, hold.order()).onSuccess(result -> {
+        holds.send(worker, scheduler.holdOrder(id, clock.nowMs(), fencingToken));
+    }
+
+    /** Receives the outcomes of holds. */
+    private final class HoldListener implements HoldCalls.Listener {
+        @Override
+        public void onResult(WorkerEntry worker, SentHold hold, Either<Failure, HoldReply> result) {
             long receivedAtMs = clock.nowMs();
-            if (closed) {
-                return;
-            }
             if (delivering) {
                 onHold(worker, hold, receivedAtMs, result);
             } else {
                 buffered.add(() -> onHold(worker, hold, receivedAtMs, result));
             }
-        });
+        }
+
+        @Override
+        public void onLateReply(WorkerEntry worker, SentHold hold, HoldReply reply) {
+            long receivedAtMs = clock.nowMs();
+            listener.onLateReply();
+            // Behind the failure of the hold, which may wait in a portion.
+            Runnable apply = () -> WorkerSessions.this.onLateReply(worker, hold, receivedAtMs, reply);
+            if (delivering) {
+                portions.add(apply);
+            } else {
+                buffered.add(apply);
+            }
+        }
+    }
+
+    private void onLateReply(WorkerEntry worker, SentHold hold, long receivedAtMs, HoldReply reply) {
+        if (closed) {
+            return;
+        }
+        if (reply.answer() == Answer.FENCED) {
+            listener.onSuperseded("worker " + worker.id() + " has seen a higher fencing token");
+            return;
+        }
+        if (reply.answer() != Answer.ACCEPTED) {
+            logLate(worker, hold, receivedAtMs, reply, "rejected", 0);
+            return;
+        }
+        listener.beforeReport();
+        int givenUp = scheduler.countGivenUp(reply.report().ended());
+        ReportOrder order = scheduler.onHoldReply(worker.id(), hold, reply.report(), receivedAtMs, clock.wallMs());
+        logLate(worker, hold, receivedAtMs, reply, order.name().toLowerCase(Locale.ROOT), givenUp);
+        listener.onReport();
+    }
+
+    /** @param givenUp how many of the ends in the reply are of runs that were given up */
+    private void logLate(
+            WorkerEntry worker, SentHold hold, long receivedAtMs, HoldReply reply, String outcome, int givenUp) {
+        if (log.allows("hold-answered-late")) {
+            List<EndedRun> ends = reply.report().ended();
+            Logger.info(
+                    "event=hold-answered-late worker={} address={}:{} token={} wait_ms={} late_ms={} answer={}"
+                            + " running={} ends={} done={} given_up={} outcome={}",
+                    worker.id(),
+                    worker.host(),
+                    worker.port(),
+                    fencingToken,
+                    hold.order().waitMs(),
+                    receivedAtMs - hold.dueMs(),
+                    reply.answer(),
+                    reply.report().running().size(),
+                    ends.size(),
+                    ends.stream().filter(ended -> ended.end() == RunEnd.DONE).count(),
+                    givenUp,
+                    outcome);
+        }
     }
 
     private void onHold(WorkerEntry worker, SentHold hold, long receivedAtMs, Either<Failure, HoldReply> result) {
@@ -143,6 +213,7 @@
         listener.beforeReport();
         if (result.isRight() && result.get().answer() == Answer.ACCEPTED) {
             firstPolls.onAnswered(id);
+            retries.onAnswered(id);
             scheduler.onHoldReply(id, hold, result.get().report(), receivedAtMs, clock.wallMs());
             listener.onReport();
             if (scheduler.awaitsDurability(id)) {
@@ -165,7 +236,7 @@
         if (firstPolls.isInFlight(id)) {
             firstPolls.onFailed(id);
         } else {
-            pollLater(id, PoolTiming.HOLD_RETRY_MS);
+            pollLater(id, retries.delayMs(id, silent, scheduler.leasesEndMs(id), clock.nowMs()));
         }
     }
 
