--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolNode.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolNode.java
@@ -144,6 +144,7 @@
     /** Starts to listen for peers and to watch the store. */
     public Future<Void> start() {
         registerHandlers();
+        metrics.registerGauge("config.age_ms", this::configAgeMs);
         configWatch.start();
         controlWatch.start();
         lease.start();
@@ -186,7 +187,7 @@
 
     /** Whether this VM should receive new connections. */
     public boolean isReady() {
-        return !draining && controlWatch.isListed() && hasFreshConfig();
+        return !draining && controlWatch.isListed() && hasCurrentConfig();
     }
 
     /** Whether this VM has read the configuration and knows the other VMs, so that it can serve requests. */
@@ -196,24 +197,15 @@
 
     /** Whether the configuration in force is known to be the newest one, up to the last moments. */
     public boolean hasCurrentConfig() {
-        return hasFreshConfig();
-    }
-
-    /** How long ago the configuration in force was last known to be the newest one, in milliseconds. */
-    public long configAgeMs() {
-        return clock.nowMs() - configWatch.lastSuccessMs();
-    }
-
-    private boolean hasFreshConfig() {
         return config != null && configRelay.isFresh();
     }
 
     /**
-     * Time on the monotonic clock as of which the configuration that was read last is known to be the store's newest;
-     * far in the past before the first read.
+     * How long ago the configuration that was read last was known to be the store's newest, in milliseconds; very long
+     * before the first read.
      */
-    public long configKnownAtMs() {
-        return configRelay.knownAtMs();
+    public long configAgeMs() {
+        return clock.nowMs() - configRelay.knownAtMs();
     }
 
     /** The configuration in force; empty before the first one has been read. */
@@ -418,11 +410,13 @@
             codec.config(value).ifPresent(next -> {
                 if (config == null || next.version() > config.version()) {
                     Logger.info(
-                            "event=config-applied version={} previous={} queues={} pools={}",
+                            "event=config-applied version={} previous={} queues={} pools={} bytes={} age_ms={}",
                             next.version(),
                             config == null ? 0 : config.version(),
                             next.queues().size(),
-                            next.pools().size());
+                            next.pools().size(),
+                            value.length,
+                            configAgeMs());
                     config = next;
                 }
             });
--- a/library/src/test/java/io/radishspindle/pool/runtime/SimulatedConfigStore.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/SimulatedConfigStore.java
@@ -102,6 +102,11 @@
             }
         }
 
+        @Override
+        public void onPartialAnswer(Runnable listener) {
+            // Answers arrive whole.
+        }
+
         private <T> Future<Either<Failure, T>> call(Supplier<T> action, Supplier<Long> bytes) {
             Call<T> call = new Call<>(CALL_TIMEOUT_MS);
             time.after(LATENCY_MS, () -> call.reply(bytes.get(), action.get()));
