Use the clock of a new incarnation that answers late

A late answer doesn't set back the worker's clock, as the owner knows it. The clock of a new incarnation begins anew and is always behind, so that the next lease had its expiry on the clock of the earlier one: the worker granted its longest lease, and the owner reckoned with 5.6 s. The test failed before (an expiry of 1,008,166 for 5,800).

--- a/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
+++ b/library/src/main/java/io/radishspindle/pool/core/RunEvents.java
@@ -112,7 +112,7 @@
         worker.replaced = false;
         worker.entryAtLastAnswer = hold.polled();
         worker.onAnswered(hold, nowMs);
-        worker.onClock(hold, report.clockMs(), nowMs);
+        worker.onClock(hold, report.clockMs(), sameIncarnation, nowMs);
         worker.reports.onApplied(hold, report, worker.calls.next());
         applyEnds(worker, report, nowMs, wallMs);
         Map<String, RunningTask> present = new HashMap<>();
--- a/library/src/main/java/io/radishspindle/pool/core/WorkerState.java
+++ b/library/src/main/java/io/radishspindle/pool/core/WorkerState.java
@@ -243,9 +243,14 @@
         }
     }
 
-    /** Applies the worker's clock in a report, unless the report was made longer ago than the last one shows. */
-    void onClock(SentHold hold, long reportedMs, long nowMs) {
-        if (!isLate(hold) || reportedMs >= leastClockMs(nowMs)) {
+    /**
+     * Applies the worker's clock in a report, unless an earlier report tells it better, as this one was under way for
+     * long.
+     *
+     * @param sameIncarnation whether the clock is that of the last report
+     */
+    void onClock(SentHold hold, long reportedMs, boolean sameIncarnation, long nowMs) {
+        if (!sameIncarnation || !isLate(hold) || reportedMs >= leastClockMs(nowMs)) {
             clockMs = reportedMs;
             clockAtMs = nowMs;
         }
--- a/library/src/test/java/io/radishspindle/pool/core/OverlappingHoldsTest.java
+++ b/library/src/test/java/io/radishspindle/pool/core/OverlappingHoldsTest.java
@@ -261,6 +261,23 @@
         }
     }
 
+    /** Guards against leases of the longest kind, which an expiry on the clock of an earlier incarnation grants. */
+    @Test
+    void should_use_the_clock_of_a_new_incarnation_that_answers_late() {
+        // given
+        SentHold late = hold();
+        pool.nowMs += 1_600;
+        fail(late);
+
+        // when
+        pool.nowMs += 100;
+        reportOthers();
+        answer(late, new WorkerReport(BOOT_MS + 1_000, 300, running(first), List.of()));
+
+        // then
+        assertThat(hold().order().leaseEndWorkerMs()).isEqualTo(300 + PoolTiming.LEASE_MS);
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {0, 400})
     void should_not_count_a_late_answer_for_the_majority_longer_than_from_the_sending_of_its_hold(long laterMs) {
