--- a/library/src/main/java/io/radishspindle/pool/runtime/DirectConfigReads.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/DirectConfigReads.java
@@ -67,7 +67,7 @@
         long sentAtMs = clock.nowMs();
         return store.transact(new Txn(Map.of(key, known), List.of(), List.of())).compose(result -> {
             if (result.isLeft()) {
-                if (result.getLeft().code() == ErrorCode.INVALID_REQUEST) {
+                if (!isOutage(result.getLeft().code())) {
                     conditionalReadsRejected = true;
                     Logger.warn(
                             "event=config-conditional-read-rejected key={} error=\"{}\"",
@@ -88,6 +88,10 @@
         });
     }
 
+    private static boolean isOutage(ErrorCode code) {
+        return code == ErrorCode.STORE_UNAVAILABLE || code == ErrorCode.OUTCOME_UNKNOWN;
+    }
+
     private Future<Either<Failure, Listing>> list(String key) {
         long sentAtMs = clock.nowMs();
         return store.list(key).map(result -> {
