A late answer from before a pause doesn't undo a later one

The worker didn't count for the majority until its next answer, which delays starts; it can't cause a second run.

The test in PausedOwnerTest failed before.

--- a/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
@@ -322,7 +322,7 @@
             return ReportOrder.OTHER_INCARNATION;
         }
         ReportOrder order = events.onReport(worker, hold, report, nowMs, wallMs);
-        if (hold.sentAtMs() < trustedFromMs) {
+        if (worker.tokenAcceptedAtMs < trustedFromMs) {
             worker.distrustAnswers(trustedFromMs);
         }
         return order;
--- a/library/src/test/java/io/radishspindle/pool/core/PausedOwnerTest.java
+++ b/library/src/test/java/io/radishspindle/pool/core/PausedOwnerTest.java
@@ -71,4 +71,20 @@
         // then
         assertThat(starts()).isEqualTo(1);
     }
+
+    @Test
+    void should_keep_trusting_an_answer_to_a_later_hold_when_one_from_before_the_pause_comes_late() {
+        // given
+        SentHold before = scheduler.holdOrder("w", nowMs, 1);
+        nowMs += 5_000;
+        scheduler.invalidateEarlierAnswers(nowMs);
+        scheduler.onHoldReply("w", scheduler.holdOrder("w", nowMs, 1), IDLE, nowMs, nowMs);
+
+        // when
+        scheduler.onHoldReply("w", before, IDLE, nowMs, nowMs);
+
+        // then
+        assertThat(scheduler.hasQuorum(nowMs)).isTrue();
+        assertThat(starts()).isEqualTo(1);
+    }
 }
