--- a/library/src/main/java/io/radishspindle/pool/core/ReportSequence.java
+++ b/library/src/main/java/io/radishspindle/pool/core/ReportSequence.java
@@ -3,12 +3,12 @@
 import io.radishspindle.pool.model.WorkerReport;
 
 /**
- * Orders the reports of one worker. Several holds may be under way at once, each may be delayed on its way to the worker
- * and back, and so neither the order of sending nor that of arrival tells which report was made first. Belongs to its
- * worker; not thread-safe.
+ * Orders the reports of one worker. Several holds may be under way at once, each may be delayed on its way to the
+ * worker and back, and so neither the order of sending nor that of arrival tells which report was made first. Belongs
+ * to its worker; not thread-safe.
  *
- * <p>Invariant: a report to a hold that was sent after the last applied one had arrived is newer than that; any other is
- * placed by the worker's clock, which only reports of one incarnation share.
+ * <p>Invariant: a report to a hold that was sent after the last applied one had arrived is newer than that; any other
+ * is placed by the worker's clock, which only reports of one incarnation share.
  */
 final class ReportSequence {
     /** Number of the event by which the last report was applied. */
--- a/library/src/main/java/io/radishspindle/pool/runtime/RegisteredWorkers.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/RegisteredWorkers.java
@@ -14,8 +14,8 @@
  * Tracks the entries that workers register in the store, and reports changes to the owners of their slices on this VM.
  * Confined to one event loop.
  *
- * <p>Invariants: an entry that can't be decoded counts as absent, also if it replaces the entry of a worker. The entry of
- * a worker never goes back: the pages of a listing are no snapshot, so that the watch that follows it may begin with
+ * <p>Invariants: an entry that can't be decoded counts as absent, also if it replaces the entry of a worker. The entry
+ * of a worker never goes back: the pages of a listing are no snapshot, so that the watch that follows it may begin with
  * changes that are older than some of its items.
  */
 final class RegisteredWorkers implements PrefixWatch.Listener {
--- a/library/src/test/java/io/radishspindle/pool/core/OverlappingHoldsTest.java
+++ b/library/src/test/java/io/radishspindle/pool/core/OverlappingHoldsTest.java
@@ -237,8 +237,8 @@
     }
 
     /**
-     * Guards against a lease that outlives the recovery of the next owner: an earlier reading of a slow clock runs ahead
-     * of it, and is kept while all answers are late.
+     * Guards against a lease that outlives the recovery of the next owner: an earlier reading of a slow clock runs
+     * ahead of it, and is kept while all answers are late.
      */
     @Test
     void should_grant_no_lease_longer_than_the_usual_one_on_a_slow_clock_that_was_read_long_ago() {
--- a/library/src/test/java/io/radishspindle/pool/core/PoolSimulation.java
+++ b/library/src/test/java/io/radishspindle/pool/core/PoolSimulation.java
@@ -32,14 +32,11 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
-import java.util.function.Consumer;
-import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.function.ToLongFunction;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
-import org.jspecify.annotations.Nullable;
 
 /**
  * Simulates a pool with its owner, workers and store in virtual time, with random faults. Deterministic for a seed;
@@ -56,7 +53,7 @@
     /** Run time of a run that fails. */
     private static final long FAILURE_MS = 100;
     /** Time after which a call without an answer has failed. */
-    private static final long SILENCE_TIMEOUT_MS = 900;
+    static final long SILENCE_TIMEOUT_MS = 900;
     /** Time after which a worker that has crashed is back. */
     private static final long MIN_RESTART_MS = 3_000;
 
@@ -133,6 +130,9 @@
     /** Whether a worker that has crashed comes back under its id, with its registration. */
     boolean returnsUnderItsId;
 
+    private final SimOrders orders = new SimOrders(this);
+    private final CongestedHolds congestedHolds = new CongestedHolds(this);
+
     private long nextWriteMs;
     /** Number of progress writes in flight. */
     private int writesInFlight;
@@ -407,11 +407,11 @@
         }
     }
 
-    private void after(long delayMs, Runnable action) {
+    void after(long delayMs, Runnable action) {
         events.add(new Event(nowMs + delayMs, eventCount++, action));
     }
 
-    private long latency() {
+    long latency() {
         return 1 + random.nextLong(MAX_LATENCY_MS);
     }
 
@@ -464,7 +464,7 @@
         HoldOrder order = hold.order();
         long sentAtMs = nowMs;
         if (worker.congestionMs > 0) {
-            pollThroughCongestion(worker, hold, owner, ownToken);
+            congestedHolds.send(worker, hold, owner, delayMs -> after(delayMs, () -> poll(id, owner, ownToken)));
             return;
         }
         long bootWallMs = worker.bootWallMs;
@@ -493,44 +493,6 @@
         });
     }
 
-    /** The hold fails when its answer is overdue; the answer is applied nevertheless when it arrives. */
-    private void pollThroughCongestion(SimWorker worker, SentHold hold, PoolScheduler owner, long ownToken) {
-        String id = worker.entry.id();
-        long bootWallMs = worker.bootWallMs;
-        boolean[] resolved = {false};
-        worker.onCrash = () -> {};
-        after(hold.dueMs() - nowMs, () -> {
-            if (!resolved[0] && owner == scheduler) {
-                resolved[0] = true;
-                owner.onHoldFailed(id, hold.sentAtMs(), nowMs, false);
-                after(PoolTiming.HOLD_RETRY_MS, () -> poll(id, owner, ownToken));
-            }
-        });
-        after(delay(worker), () -> {
-            boolean lost = worker.isDown || worker.unreachable || worker.bootWallMs != bootWallMs;
-            if (lost || worker.hold(hold.order(), nowMs) != Answer.ACCEPTED) {
-                return;
-            }
-            var report = worker.report(nowMs);
-            after(delay(worker), () -> {
-                if (owner != scheduler || nowMs > hold.relevantUntilMs()) {
-                    return;
-                }
-                owner.onHoldReply(id, hold, report, nowMs, nowMs);
-                lateAnswers += resolved[0] ? 1 : 0;
-                if (!resolved[0]) {
-                    resolved[0] = true;
-                    long pauseMs = owner.awaitsDurability(id) ? PoolTiming.ACK_RETRY_MS : 1;
-                    after(pauseMs, () -> poll(id, owner, ownToken));
-                }
-            });
-        });
-    }
-
-    private long delay(SimWorker worker) {
-        return latency() + (worker.congestionMs > 0 ? random.nextLong(worker.congestionMs) : 0);
-    }
-
     /** Time until a call to a worker that is down has failed. */
     private long breakMs(SimWorker worker) {
         return crashesSilently && !worker.isReplaced ? SILENCE_TIMEOUT_MS : latency();
@@ -560,7 +522,7 @@
                     fencingToken,
                     order.checkpoint(),
                     order.ticket());
-            send(start.worker().id(), worker -> startOn(worker, fenced), answer -> {
+            orders.send(start.worker().id(), worker -> startOn(worker, fenced), answer -> {
                 if (owner == scheduler) {
                     owner.onStartReply(start.worker().id(), order.run(), answer, nowMs);
                 }
@@ -568,7 +530,7 @@
         } else if (action instanceof PoolAction.Stop stop) {
             long sentToken = fencingToken;
             stopReasons.add(stop.reason());
-            send(stop.worker().id(), worker -> worker.stop(stop.run(), sentToken, nowMs), answer -> {
+            orders.send(stop.worker().id(), worker -> worker.stop(stop.run(), sentToken, nowMs), answer -> {
                 if (owner == scheduler) {
                     owner.onStopReply(stop.worker().id(), stop.run(), answer, nowMs);
                 }
@@ -586,68 +548,6 @@
         }
     }
 
-    /** Sends an order; {@code onAnswer} receives null if there is no answer. */
-    private void send(String id, Function<SimWorker, Answer> order, Consumer<@Nullable Answer> onAnswer) {
-        SimWorker worker = workers.get(id);
-        if (worker == null || worker.isDown) {
-            if (worker != null && crashesSilently && !worker.isReplaced) {
-                after(SILENCE_TIMEOUT_MS, () -> onAnswer.accept(null));
-                return;
-            }
-            // The connection is refused, or another worker has the address.
-            after(latency(), () -> onAnswer.accept(Answer.UNHEALTHY));
-            return;
-        }
-        if (worker.congestionMs > 0) {
-            sendThroughCongestion(worker, order, onAnswer);
-            return;
-        }
-        long bootWallMs = worker.bootWallMs;
-        if (random.nextDouble() < lateOrderProbability) {
-            // A delayed order is lost if the worker restarts.
-            after(2_000 + random.nextLong(10_000), () -> {
-                if (!worker.isDown && !worker.unreachable && worker.bootWallMs == bootWallMs) {
-                    order.apply(worker);
-                }
-            });
-            after(900, () -> onAnswer.accept(null));
-            return;
-        }
-        after(latency(), () -> {
-            if (worker.isDown) {
-                onAnswer.accept(null);
-                return;
-            }
-            if (worker.unreachable) {
-                after(900, () -> onAnswer.accept(null));
-                return;
-            }
-            Answer answer = order.apply(worker);
-            boolean lost = random.nextDouble() < lostAnswerProbability;
-            after(lost ? 900 : latency(), () -> onAnswer.accept(lost || worker.isDown ? null : answer));
-        });
-    }
-
-    /** The order is executed when it arrives, also after the time within which its answer is awaited. */
-    private void sendThroughCongestion(
-            SimWorker worker, Function<SimWorker, Answer> order, Consumer<@Nullable Answer> onAnswer) {
-        long bootWallMs = worker.bootWallMs;
-        boolean[] resolved = {false};
-        Consumer<@Nullable Answer> once = answer -> {
-            if (!resolved[0]) {
-                resolved[0] = true;
-                onAnswer.accept(answer);
-            }
-        };
-        after(SILENCE_TIMEOUT_MS, () -> once.accept(null));
-        after(delay(worker), () -> {
-            if (!worker.isDown && !worker.unreachable && worker.bootWallMs == bootWallMs) {
-                Answer answer = order.apply(worker);
-                after(delay(worker), () -> once.accept(answer));
-            }
-        });
-    }
-
     private Answer startOn(SimWorker worker, StartOrder order) {
         PoolJob job = storedJobs.get(order.run().task().jobId());
         StepSpec step = job.steps().get(order.run().task().step());
--- a/library/src/test/java/io/radishspindle/pool/core/SimWorker.java
+++ b/library/src/test/java/io/radishspindle/pool/core/SimWorker.java
@@ -16,6 +16,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.apache.commons.rng.UniformRandomProvider;
 import org.jspecify.annotations.Nullable;
 
 /** Simulates a worker in virtual time: fencing, leases and acknowledged ends as on the platform. Not thread-safe. */
@@ -108,6 +109,11 @@
         return CLOCK_OFFSET_MS + (long) (nowMs * CLOCK_RATE);
     }
 
+    /** By how much the link delays a call or an answer, in milliseconds. */
+    long congestion(UniformRandomProvider random) {
+        return congestionMs > 0 ? random.nextLong(congestionMs) : 0;
+    }
+
     /** Ends the worker and all its runs. */
     void crash() {
         clear();
--- a/library/src/test/java/io/radishspindle/pool/runtime/LateHoldAnswerTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/LateHoldAnswerTest.java
@@ -26,8 +26,8 @@
 import org.junit.jupiter.params.provider.EnumSource;
 
 /**
- * Guards against a second run of a task whose first run has succeeded, and whose worker has reported this in time, in an
- * answer that a congested link delays by seconds.
+ * Guards against a second run of a task whose first run has succeeded, and whose worker has reported this in time, in
+ * an answer that a congested link delays by seconds.
  */
 class LateHoldAnswerTest {
     private static final long RUN_MS = 2_000;
@@ -36,6 +36,7 @@
     /** Beyond the end of all leases of a worker that is silent from the start of the run on. */
     private static final long WATCHED_MS = 9_000;
 
+    /** What the link delays. */
     enum Congested {
         REQUESTS,
         ANSWERS
