A hold for a gang gives way to lasting tasks

A worker with a hold takes other tasks only if they end before the gang is due, or leave the held amount free. A lasting task never ends, so that the hold closed all workers to it for as long as the gang waited.

A hold gives way to a lasting step if the gang is due later than 1 s after the step became ready. Workers without a hold come first; else the hold on one worker is dropped, so that further lasting tasks go there too. The forecast of capacity and calls for advice count such room.

--- a/library/src/main/java/io/radishspindle/pool/core/AdvicePlanner.java
+++ b/library/src/main/java/io/radishspindle/pool/core/AdvicePlanner.java
@@ -77,7 +77,7 @@
     }
 
     private static boolean fits(StepState step, WorkerRoom room, long untilMs) {
-        return step.spec.reserved().fitsIn(room.freeAt(untilMs));
+        return step.spec.reserved().fitsIn(room.freeFor(step, untilMs));
     }
 
     /** Free capacity as a single number for sorting: an accelerator counts as one core. */
--- a/library/src/main/java/io/radishspindle/pool/core/CapacityForecast.java
+++ b/library/src/main/java/io/radishspindle/pool/core/CapacityForecast.java
@@ -30,9 +30,9 @@
         double rate = approvals.rate(step.job.job.queue());
         double needed = step.spec.gang() ? step.tasks.size() : Double.MIN_VALUE;
         for (WorkerRoom room : placer.rooms()) {
-            if (step.spec.reserved().fitsIn(free(room)) && isCandidate(step, room)) {
+            if (step.spec.reserved().fitsIn(free(step, room)) && isCandidate(step, room)) {
                 boolean untried = step.job.job.advice() != null && !step.tickets.containsKey(room.worker.id());
-                needed -= (untried ? rate : 1) * tasksThatFit(step, room, free(room));
+                needed -= (untried ? rate : 1) * tasksThatFit(step, room, free(step, room));
                 if (needed <= 0) {
                     return true;
                 }
@@ -48,8 +48,8 @@
             if (missing <= 0) {
                 return;
             }
-            if (step.spec.reserved().fitsIn(free(room)) && isCandidate(step, room)) {
-                int count = Math.min(missing, tasksThatFit(step, room, free(room)));
+            if (step.spec.reserved().fitsIn(free(step, room)) && isCandidate(step, room)) {
+                int count = Math.min(missing, tasksThatFit(step, room, free(step, room)));
                 if (count > 0) {
                     reserved.merge(room, step.spec.reserved().times(count), Resources::plus);
                     missing -= count;
@@ -65,7 +65,7 @@
             if (!room.mayEvictFor(priority) || !isCandidate(step, room)) {
                 continue;
             }
-            Resources free = free(room);
+            Resources free = free(step, room);
             for (RunState run : room.worker.runs.values()) {
                 TaskState task = run.task;
                 if (task != null
@@ -86,8 +86,8 @@
         return room.usable && placer.mayBeApproved(step, room.worker) && placer.mayRun(step, room.worker);
     }
 
-    private Resources free(WorkerRoom room) {
-        Resources free = room.freeAt(untilMs);
+    private Resources free(StepState step, WorkerRoom room) {
+        Resources free = room.freeFor(step, untilMs);
         Resources taken = reserved.get(room);
         return taken == null ? free : free.minus(taken);
     }
--- a/library/src/main/java/io/radishspindle/pool/core/Placer.java
+++ b/library/src/main/java/io/radishspindle/pool/core/Placer.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -15,7 +16,7 @@
  * pass; not thread-safe.
  *
  * <p>Invariant: capacity that is held for a higher-ranked step is given to a lower-ranked task only if the task is
- * expected to end before the held capacity can be used.
+ * expected to end before the held capacity can be used, or if the hold gives way to it and no other worker has room.
  */
 final class Placer {
     /** Time after which a start without an answer no longer keeps others from the worker, in milliseconds. */
@@ -58,39 +59,51 @@
         return room;
     }
 
-    /** Returns the best worker for a task, or null if none can run it now. */
+    /**
+     * Returns the best worker for a task, or null if none can run it now. A hold that gives way to the task is dropped,
+     * so that further tasks use the same worker rather than others that are held.
+     */
     @Nullable
     WorkerState choose(TaskState task) {
         StepState step = task.step;
         Resources need = step.spec.reserved();
         long endMs = ends.endOfStartMs(step);
-        WorkerState best = null;
-        double bestScore = Double.MAX_VALUE;
-        for (WorkerRoom room : rooms) {
-            WorkerState worker = room.worker;
-            if (!room.usable || !room.admits(need, endMs) || !mayRun(task, worker) || !hasTicket(step, worker)) {
-                continue;
-            }
-            double candidate = score.of(task, worker);
-            if (candidate < bestScore) {
-                best = worker;
-                bestScore = candidate;
+        WorkerRoom best =
+                best(room -> room.admits(need, endMs) && mayStart(task, room), worker -> score.of(task, worker));
+        if (best == null && step.spec.lasting()) {
+            best = best(
+                    room -> room.admitsInsteadOfHeld(step, need) && mayStart(task, room),
+                    worker -> score.of(task, worker));
+            if (best != null) {
+                best.dropHold();
             }
         }
-        return best;
+        return best == null ? null : best.worker;
+    }
+
+    /** Checks all but the free capacity of the worker. */
+    private boolean mayStart(TaskState task, WorkerRoom room) {
+        return room.usable && mayRun(task, room.worker) && hasTicket(task.step, room.worker);
     }
 
     /** Returns the worker on which the trial of a suspect does least harm, or null if none can run it now. */
     @Nullable
     WorkerState chooseForTrial(TaskState task, Predicate<WorkerState> allowed) {
         Resources need = task.step.spec.reserved();
-        WorkerState best = null;
+        WorkerRoom best = best(
+                room -> allowed.test(room.worker) && canTry(task, room, need), worker -> score.ofTrial(task, worker));
+        return best == null ? null : best.worker;
+    }
+
+    /** Returns the eligible worker with the lowest score, or null if there is none. */
+    private @Nullable WorkerRoom best(Predicate<WorkerRoom> eligible, ToDoubleFunction<WorkerState> scoreOf) {
+        WorkerRoom best = null;
         double bestScore = Double.MAX_VALUE;
         for (WorkerRoom room : rooms) {
-            if (allowed.test(room.worker) && canTry(task, room, need)) {
-                double candidate = score.ofTrial(task, room.worker);
+            if (eligible.test(room)) {
+                double candidate = scoreOf.applyAsDouble(room.worker);
                 if (candidate < bestScore) {
-                    best = room.worker;
+                    best = room;
                     bestScore = candidate;
                 }
             }
@@ -102,7 +115,7 @@
     boolean canTry(TaskState task, WorkerRoom room, Resources amount) {
         StepState step = task.step;
         return room.usable
-                && room.admits(amount, ends.endOfStartMs(step))
+                && admits(step, room, amount)
                 && mayRun(step, room.worker, task.crashRecord())
                 && hasTicket(step, room.worker);
     }
@@ -227,7 +240,7 @@
         return caution.isNeeded()
                 && rooms.stream()
                         .anyMatch(room -> room.usable
-                                && room.admits(step.spec.reserved(), ends.endOfStartMs(step))
+                                && admits(step, room, step.spec.reserved())
                                 && hasTicket(step, room.worker)
                                 && ruleAgainst(step, room.worker, null, false) == Obstacle.UNPROVEN_STARTS);
     }
@@ -276,7 +289,7 @@
         if (!mayBeApproved(step, worker)) {
             return Obstacle.NOT_APPROVED;
         }
-        if (!room.admits(step.spec.reserved(), ends.endOfStartMs(step))) {
+        if (!admits(step, room, step.spec.reserved())) {
             return Obstacle.HELD;
         }
         if (hasTicket(step, worker)) {
@@ -285,6 +298,11 @@
         return step.tickets.containsKey(worker.id()) ? Obstacle.TICKET_EXPIRED : Obstacle.NOT_QUERIED;
     }
 
+    /** Returns whether the step may have an amount of the worker's capacity now, as far as holds are concerned. */
+    private boolean admits(StepState step, WorkerRoom room, Resources amount) {
+        return room.admits(amount, ends.endOfStartMs(step)) || room.admitsInsteadOfHeld(step, amount);
+    }
+
     boolean hasTicket(StepState step, WorkerState worker) {
         return hasTicketUntil(step, worker, nowMs);
     }
--- a/library/src/main/java/io/radishspindle/pool/core/UntriedRoom.java
+++ b/library/src/main/java/io/radishspindle/pool/core/UntriedRoom.java
@@ -23,7 +23,9 @@
         }
         Resources need = step.spec.reserved();
         for (WorkerRoom room : placer.rooms()) {
-            if (need.fitsIn(room.freeAt(untilMs)) && !placer.hasTicket(step, room.worker) && isCandidate(step, room)) {
+            if (need.fitsIn(room.freeFor(step, untilMs))
+                    && !placer.hasTicket(step, room.worker)
+                    && isCandidate(step, room)) {
                 return true;
             }
         }
--- a/library/src/main/java/io/radishspindle/pool/core/WorkerRoom.java
+++ b/library/src/main/java/io/radishspindle/pool/core/WorkerRoom.java
@@ -11,10 +11,17 @@
  * The capacity of one worker that is free now and later, less what is held for higher-ranked tasks that wait. Used for
  * one pass; not thread-safe.
  *
- * <p>Invariant: a task that is admitted either is expected to end before the held amount is needed, or leaves that
- * amount intact.
+ * <p>Invariants: a task that is admitted either is expected to end before the held amount is needed, or leaves that
+ * amount intact. A hold gives way to a lasting task that would wait for longer than its bound otherwise, as it never
+ * ends and so outlasts every hold.
  */
 final class WorkerRoom {
+    /**
+     * Longest time that a lasting step waits from its readiness for a gang to start, in milliseconds. The platform
+     * allows a lasting task 3 s beside room, which also have to suffice for a call for advice.
+     */
+    private static final long MAX_LASTING_WAIT_MS = 1_000;
+
     private record End(long atMs, Resources amount) {}
 
     private static final int UNKNOWN_PRIORITY = -2;
@@ -47,6 +54,12 @@
         heldFromMs = Math.min(heldFromMs, fromMs);
     }
 
+    /** Gives up what is held, as the capacity goes to a task to which the hold gives way. */
+    void dropHold() {
+        held = Resources.NONE;
+        heldFromMs = ExpectedEnds.NEVER;
+    }
+
     /** Must be called after runs of the worker were stopped. */
     void onRunsStopped() {
         cachedForUsed = null;
@@ -60,6 +73,17 @@
         return heldFromMs == ExpectedEnds.NEVER || endMs <= heldFromMs || amount.fitsIn(freeAt(heldFromMs));
     }
 
+    /** Returns whether tasks of the step that need {@code amount} may start now in place of what is held. */
+    boolean admitsInsteadOfHeld(StepState step, Resources amount) {
+        return holdGivesWayTo(step) && fitsNow(amount);
+    }
+
+    private boolean holdGivesWayTo(StepState step) {
+        return heldFromMs != ExpectedEnds.NEVER
+                && step.spec.lasting()
+                && heldFromMs > step.readySinceMs + MAX_LASTING_WAIT_MS;
+    }
+
     /** Returns whether an amount fits into the capacity without a run, whether it is held or not. */
     private boolean fitsNow(Resources amount) {
         Resources capacity = worker.entry.capacity();
@@ -69,14 +93,23 @@
                 && amount.accelerators() <= capacity.accelerators() - used.accelerators();
     }
 
+    /** Expected free capacity at a time for tasks of the step. */
+    Resources freeFor(StepState step, long atMs) {
+        return holdGivesWayTo(step) ? freeWithHeldAt(atMs) : freeAt(atMs);
+    }
+
     /** Expected free capacity at a time, less what is held. */
     Resources freeAt(long atMs) {
+        Resources free = freeWithHeldAt(atMs);
+        return held == Resources.NONE ? free : free.minus(held);
+    }
+
+    private Resources freeWithHeldAt(long atMs) {
         if (cachedForUsed != worker.used) {
             freeByTime.clear();
             cachedForUsed = worker.used;
         }
-        Resources free = freeByTime.computeIfAbsent(atMs, this::computeFreeAt);
-        return held == Resources.NONE ? free : free.minus(held);
+        return freeByTime.computeIfAbsent(atMs, this::computeFreeAt);
     }
 
     private Resources computeFreeAt(long atMs) {
