Don't wait for machines that are down while a VM has no configuration

A VM without a configuration now probes the readers for 0.25 s first, and takes the next ones in place of those that don't answer.

should_not_wait_for_machines_that_are_down_while_it_has_no_configuration fails on the code before.

--- a/library/src/main/java/io/radishspindle/pool/runtime/ConfigReaders.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/ConfigReaders.java
@@ -29,8 +29,8 @@
     private static final long SILENT_BACKOFF_MS = 2_000;
     /** First back-off of a VM that refused the connection, in milliseconds: it is probably starting. */
     private static final long REFUSED_BACKOFF_MS = 300;
-    /** A failure after less than this, in milliseconds, is a refusal. */
-    private static final long REFUSED_WITHIN_MS = 200;
+    /** A failure after less than this, in milliseconds, is a refusal, or a probe by a VM that starts itself. */
+    private static final long REFUSED_WITHIN_MS = 300;
 
     private static final long MAX_BACKOFF_MS = 16_000;
     /**
--- a/library/src/main/java/io/radishspindle/pool/runtime/ConfigRelay.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/ConfigRelay.java
@@ -40,6 +40,11 @@
     private static final long REPLY_SLACK_MS = 500;
     /** Time limit of a probe of a VM that did not answer, in milliseconds. */
     private static final long PROBE_TIMEOUT_MS = 500;
+    /**
+     * The same at the start, in milliseconds. After a loss of power, entries of VMs remain whose machines are still
+     * down; a connection to such a machine is tried again after a second only.
+     */
+    private static final long START_PROBE_TIMEOUT_MS = 250;
     /** Queries of one read begin within this time, in milliseconds; one that isn't answered takes most of it. */
     private static final long QUERIES_WITHIN_MS = 2_000;
     /** Largest age of what a query passes on, in milliseconds; a VM without knowledge sends it, too. */
@@ -192,6 +197,9 @@
         private final boolean refresh;
         private final long beganAtMs = clock.nowMs();
         private final Set<String> queried = new HashSet<>();
+        /** VMs that were probed first, as a VM without configuration can't wait for one that is down. */
+        private final Set<String> tried = new HashSet<>();
+
         private boolean delayed;
         private boolean outage;
 
@@ -214,6 +222,15 @@
                 delayed = true;
                 return after(random.nextLong(SUBSTITUTE_SPREAD_MS * (readers.rank() + 1)), this::run);
             }
+            List<String> untried =
+                    chosen.stream().filter(vm -> !tried.contains(vm)).toList();
+            if (knowledge.revision() == 0 && !untried.isEmpty()) {
+                tried.addAll(untried);
+                return Future.join(untried.stream()
+                                .map(vm -> probe(vm, START_PROBE_TIMEOUT_MS))
+                                .toList())
+                        .compose(ignored -> run());
+            }
             if (clock.nowMs() >= lastResortAtMs) {
                 Logger.warn(
                         "event=config-read-without-reader vm={} known_ms={} readers={}",
@@ -339,22 +356,24 @@
     }
 
     private void probeUnresponsive() {
-        for (String vm : readers.dueProbes()) {
-            long sentAtMs = clock.nowMs();
-            // Asks for a revision that doesn't exist, so that the reply holds no value.
-            messenger
-                    .request(vm, new QueryConfig(Long.MAX_VALUE, 1, 0L), ConfigReply.class, PROBE_TIMEOUT_MS)
-                    .onSuccess(reply -> {
-                        if (reply.isRight() || isAnswer(reply.getLeft().code())) {
-                            readers.onAnswer(vm);
-                        } else {
-                            readers.onNoAnswer(
-                                    vm,
-                                    clock.nowMs() - sentAtMs,
-                                    reply.getLeft().message());
-                        }
-                    });
-        }
+        readers.dueProbes().forEach(vm -> probe(vm, PROBE_TIMEOUT_MS));
+    }
+
+    /** Finds out whether a VM answers, and tells {@link ConfigReaders}. */
+    private Future<Void> probe(String vm, long timeoutMs) {
+        long sentAtMs = clock.nowMs();
+        // Asks for a revision that doesn't exist, so that the reply holds no value.
+        return messenger
+                .request(vm, new QueryConfig(Long.MAX_VALUE, 1, 0L), ConfigReply.class, timeoutMs)
+                .onSuccess(reply -> {
+                    if (reply.isRight() || isAnswer(reply.getLeft().code())) {
+                        readers.onAnswer(vm);
+                    } else {
+                        readers.onNoAnswer(
+                                vm, clock.nowMs() - sentAtMs, reply.getLeft().message());
+                    }
+                })
+                .mapEmpty();
     }
 
     /** Whether a VM that replies with this code can answer queries, though not this one. */
