Calls for advice prefer VMs that answer to those that have failed

A VM is passed over for 1 s after a failure, but a long call fails after 2 s, and VMs are taken in order of name: the calls of a step go to the same two VMs in turn, although others answer. VMs that have failed come last now, until they answer.

The new case was not run on the code before; by reading, the third call went to the first VM.

--- a/library/src/main/java/io/radishspindle/pool/runtime/AdviceDispatcher.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/AdviceDispatcher.java
@@ -11,6 +11,7 @@
 import io.vavr.control.Either;
 import io.vertx.core.Future;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -48,6 +49,9 @@
     private final Map<String, Call> calls = new HashMap<>();
 
     private final Map<String, Long> backOffUntilMs = new HashMap<>();
+    /** When the last call through a VM failed without an answer, for the VMs that have answered none since. */
+    private final Map<String, Long> failedAtMs = new HashMap<>();
+
     private final Map<String, Long> lastShortCallMs = new HashMap<>();
 
     /** @param pools names of all pools, in the same order on all VMs */
@@ -109,11 +113,11 @@
 
         /** VM for a call; empty if none is available. */
         String choose(boolean isLong) {
-            List<String> idleOwn = selfLast(idle(own));
+            List<String> idleOwn = failedLast(selfLast(idle(own)));
             if (!idleOwn.isEmpty() && (!isLong || ownLongCapacity() > 0)) {
                 return idleOwn.get(0);
             }
-            List<String> idleOthers = idle(others);
+            List<String> idleOthers = failedLast(idle(others));
             return !idleOthers.isEmpty() && (!isLong || otherLongCapacity() > 0) ? idleOthers.get(0) : "";
         }
     }
@@ -184,10 +188,14 @@
         return call(vm, step, workers, expectedMs).compose(result -> {
             calls.remove(vm);
             if (result.isRight()) {
+                failedAtMs.remove(vm);
                 return Future.succeededFuture(result);
             }
             Failure failure = result.getLeft();
             boolean busy = failure.code() == ErrorCode.OVERLOADED;
+            if (!busy) {
+                failedAtMs.put(vm, clock.nowMs());
+            }
             backOffUntilMs.put(vm, clock.nowMs() + (busy ? failure.retryAfterMs() : VM_BACKOFF_MS));
             return busy && attempt < MAX_ATTEMPTS
                     ? advise(pool, step, workers, expectedMs, attempt + 1)
@@ -216,6 +224,16 @@
         return all;
     }
 
+    /**
+     * Moves VMs that don't answer to the end, the last one that failed last. A call fails later than the back-off of the
+     * one before ends, so that calls would go to the same two VMs in turn.
+     */
+    private List<String> failedLast(List<String> vms) {
+        List<String> sorted = new ArrayList<>(vms);
+        sorted.sort(Comparator.comparingLong(vm -> failedAtMs.getOrDefault(vm, Long.MIN_VALUE)));
+        return sorted;
+    }
+
     /** Moves this VM to the end, as its ownership already loads it. */
     private List<String> selfLast(List<String> vms) {
         List<String> sorted = new ArrayList<>(vms);
--- a/library/src/test/java/io/radishspindle/pool/runtime/AdviceDispatcherTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/AdviceDispatcherTest.java
@@ -85,6 +85,30 @@
         assertThat(dispatcher.idleChannels("first")).isEqualTo(3);
     }
 
+    /** Calls that fail later than the back-off ends went to the same two VMs in turn, although others answered. */
+    @Test
+    void should_prefer_vms_that_answer_to_those_that_have_failed() {
+        // given
+        addVms("d");
+        Failure failure = Failure.retryable(ErrorCode.PEER_UNREACHABLE, "peer.request", "b", "no reply", 100);
+        for (String vm : List.of("b", "c")) {
+            messenger.peers.put(vm, message -> {
+                clock.nowMs += 2_000;
+                return Future.succeededFuture(Either.left(failure));
+            });
+        }
+        messenger.peers.put("d", message -> Future.succeededFuture(Either.right(new AdviceReply(Map.of(), 2_000))));
+
+        // when
+        for (int i = 0; i < 5; i++) {
+            advise();
+            clock.nowMs += 10;
+        }
+
+        // then
+        assertThat(messenger.requestedVms).containsExactly("b", "c", "d", "d", "d");
+    }
+
     @Test
     void should_retry_through_another_vm_at_once_when_one_is_busy_with_a_call_of_another_pool() {
         // given
