Loaded tasks wait for the end of the former owner's leases, if it is known

The new owner bounded the leases of the former one by its own majority alone, as it did not know that the former one had ended.

Each claim leaves a record in its transaction, which names the claim that it replaced and outlasts its lease. After its claim an owner asks the VMs of these records whether they own the pool; a denial tells for how long they haven't. The leases of an owner that has ended expire at most 5.7 s after its end, as expiries are absolute times on the worker's clock.

--- a/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
@@ -130,6 +130,11 @@
         attribution.onInherited(unfinished.values(), nowMs);
     }
 
+    /** All earlier owners of the pool had ended at a time; called at most once, before or after the recovery begins. */
+    public void onEarlierOwnersEnded(long endedMs) {
+        recovery.onEarlierOwnersEnded(endedMs);
+    }
+
     /** Adds a new job that no other owner knows; returns false if it is already known. */
     public boolean submit(PoolJob job) {
         if (isKnown(job.id())) {
--- a/library/src/main/java/io/radishspindle/pool/core/Recovery.java
+++ b/library/src/main/java/io/radishspindle/pool/core/Recovery.java
@@ -13,6 +13,9 @@
  * have granted have expired, no task of a loaded job is started, and everything that loaded jobs may have running on
  * silent workers is reported to the limits of the tenants. Earlier owners have started runs on recorded workers only,
  * so that a registration counts neither if it is missing nor if no worker is behind it.
+ *
+ * <p>An earlier owner renews leases until it no longer counts a majority, which this owner can only bound by its own
+ * majority, or until it has ended, if that is known. The earlier of the two bounds is in force.
  */
 final class Recovery {
     /**
@@ -22,6 +25,16 @@
     private static final long DURATION_MS =
             (long) ((PoolTiming.LEASE_MS + PoolTiming.CONFIRMATION_MS) / PoolTiming.MIN_CLOCK_RATE);
 
+    /**
+     * Longest time for which a run may go on once the owner that granted its lease has ended, in milliseconds. Expiries
+     * are times on the clock of the worker, so that an order that is carried out late extends none. They are reckoned
+     * from the last answer of the worker, which is no older than a confirmation.
+     */
+    private static final long AFTER_OWNER_MS =
+            (long) Math.ceil((PoolTiming.LEASE_MS + PoolTiming.CONFIRMATION_MS) / PoolTiming.MIN_CLOCK_RATE)
+                    - PoolTiming.CONFIRMATION_MS
+                    + PoolTiming.LEASE_MARGIN_MS;
+
     /**
      * Age up to which a job that was stopped may still have runs, in milliseconds: the longest life of a run without a
      * lease, and as much for the clock of the VM that noted the end.
@@ -40,6 +53,9 @@
     private final WorkerRoster roster;
     private long endsMs = Long.MIN_VALUE;
     private long gangsReportedByMs = Long.MIN_VALUE;
+    /** When all leases of earlier owners have expired, by what is known of the ends of these owners. */
+    private long earlierLeasesEndMs = Long.MAX_VALUE;
+
     private boolean unseen;
     private boolean hadQuorum;
     /** By tenant, Unix milliseconds at which its last job was cancelled or failed. */
@@ -67,12 +83,17 @@
         unseen = true;
     }
 
+    /** All earlier owners had ended at a time, so that none of them has granted a lease since. */
+    void onEarlierOwnersEnded(long endedMs) {
+        earlierLeasesEndMs = endedMs + AFTER_OWNER_MS;
+    }
+
     /** Returns whether tasks of loaded jobs still wait for the workers' reports. */
     boolean isActive(long nowMs) {
         if (nowMs < endsMs && isComplete()) {
             endsMs = nowMs;
         }
-        return nowMs < endsMs;
+        return nowMs < Math.min(endsMs, earlierLeasesEndMs);
     }
 
     /** Returns whether workers that have not reported yet may run the missing members of inherited gangs. */
--- a/library/src/main/java/io/radishspindle/pool/core/StartPermission.java
+++ b/library/src/main/java/io/radishspindle/pool/core/StartPermission.java
@@ -16,7 +16,8 @@
  *       workers in this, as the platform takes such workers for gone.
  *   <li>No earlier owner acts, and none of its runs is unknown: it knows only jobs that were stored before the claim of
  *       this owner, and those wait until every recorded worker has reported all its runs and ends to this owner, and so
- *       rejects the earlier one, or can't have runs any more ({@link Recovery}).
+ *       rejects the earlier one, or can't have runs any more, as all leases of earlier owners have expired: those
+ *       owners have lost their majority to this one, or are known to have ended ({@link Recovery}).
  *   <li>This owner has no run of the task that may be at work: a run is released only by what its worker has reported
  *       or by the end of all its leases ({@link RunEvents}), and until then it counts, also if the task has another run
  *       ({@link ActiveRuns}).
--- a/library/src/main/java/io/radishspindle/pool/runtime/OwnerElection.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/OwnerElection.java
@@ -54,6 +54,10 @@
     /** Probes of the owners for which this VM is the first stand-by, by pool. */
     private final Map<String, OwnerProbe> probes = new HashMap<>();
 
+    private final long startedMs;
+    /** When the pools that this VM has owned were released or lost. */
+    private final Map<String, Long> releasedMs = new HashMap<>();
+
     private final TakeoverBackoff backoff = new TakeoverBackoff();
     private final Map<String, Candidates> lastCandidates = new HashMap<>();
     private boolean closed;
@@ -73,6 +77,7 @@
         this.lease = lease;
         this.messenger = messenger;
         this.listener = listener;
+        startedMs = clock.nowMs();
     }
 
     /** Stops claiming; pools that are owned stay so until they are released. */
@@ -83,6 +88,17 @@
     /** This VM has released the pool or has been superseded as its owner. */
     void onReleased(String pool) {
         fencingTokens.remove(pool);
+        releasedMs.put(pool, clock.nowMs());
+    }
+
+    /** Time for which this VM has not owned the pool, in milliseconds; 0 while it owns or claims it. */
+    long notOwnerForMs(String pool) {
+        return ownsOrClaims(pool) ? 0 : clock.nowMs() - releasedMs.getOrDefault(pool, startedMs);
+    }
+
+    /** When this process was started, at which earlier processes of the VM had ended. */
+    long startedMs() {
+        return startedMs;
     }
 
     /**
@@ -198,8 +214,15 @@
         claiming.add(pool);
         String key = StoreKeys.owner(pool);
         Records.Owner owner = new Records.Owner(self.vmId(), self.boot());
+        // Both items get the same revision, and the record stays when the claim ends with the lease of this VM.
+        Write record = new Write(
+                StoreKeys.claim(pool, self.vmId(), self.boot()),
+                Records.encode(new Records.Claim(self.vmId(), expectedRevision, 0)),
+                0);
         Txn txn = new Txn(
-                Map.of(key, expectedRevision), List.of(new Write(key, Records.encode(owner), lease.id())), List.of());
+                Map.of(key, expectedRevision),
+                List.of(new Write(key, Records.encode(owner), lease.id()), record),
+                List.of());
         store.transact(txn).onSuccess(result -> onClaimResult(pool, reason, result));
     }
 
--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolNode.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolNode.java
@@ -288,6 +288,7 @@
                 metrics,
                 pool,
                 fencingToken,
+                new EarlierOwners(clock, store, messenger, self, pool, fencingToken, election.startedMs()),
                 runTimes.newPredictor(),
                 maxLeaseMs,
                 this::onSuperseded);
@@ -335,7 +336,10 @@
             ownerOf(message.pool()).ifPresent(owner -> owner.onCancelStored(message.jobId()));
             return done();
         });
-        messenger.handle(PoolPing.class, (vm, message) -> answer(new PoolPong(election.ownsOrClaims(message.pool()))));
+        messenger.handle(
+                PoolPing.class,
+                (vm, message) -> answer(
+                        new PoolPong(election.ownsOrClaims(message.pool()), election.notOwnerForMs(message.pool()))));
         messenger.handle(
                 QueryPoolJob.class,
                 (vm, message) -> answer(ownerOf(message.pool())
--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolOwner.java
@@ -55,6 +55,7 @@
     private final SharedStore store;
     private final String pool;
     private final long fencingToken;
+    private final EarlierOwners earlierOwners;
     private final AdviceDispatcher advice;
     private final BiConsumer<String, String> onSuperseded;
     private final RunTimePredictor runTimes;
@@ -96,6 +97,7 @@
             MetricRegistry metrics,
             String pool,
             long fencingToken,
+            EarlierOwners earlierOwners,
             RunTimePredictor runTimes,
             long maxLeaseMs,
             BiConsumer<String, String> onSuperseded) {
@@ -104,6 +106,7 @@
         this.store = store;
         this.pool = pool;
         this.fencingToken = fencingToken;
+        this.earlierOwners = earlierOwners;
         this.advice = advice;
         this.metrics = metrics;
         log = new BoundedLog(clock);
@@ -184,14 +187,17 @@
         Future.join(
                         store.list(StoreKeys.intake(pool)),
                         store.list(StoreKeys.allProgress(pool)),
-                        store.list(StoreKeys.workers(pool)))
+                        store.list(StoreKeys.workers(pool)),
+                        store.list(StoreKeys.claims(pool)))
                 .onSuccess(all -> {
                     Either<Failure, Listing> jobs = all.resultAt(0);
                     Either<Failure, Listing> progress = all.resultAt(1);
                     Either<Failure, Listing> workers = all.resultAt(2);
-                    if (jobs.isLeft() || progress.isLeft() || workers.isLeft()) {
+                    Either<Failure, Listing> claims = all.resultAt(3);
+                    if (jobs.isLeft() || progress.isLeft() || workers.isLeft() || claims.isLeft()) {
                         vertx.setTimer(LOAD_RETRY_MS, ignored -> load());
                     } else if (!closed) {
+                        earlierOwners.load(claims.get().items());
                         onListed(
                                 requestedAtMs,
                                 jobs.get(),
@@ -243,6 +249,11 @@
             runTimeReport.update(runTimes.errorByQueue());
         }
         storedRunTimes.tick();
+        if (!recovered) {
+            earlierOwners.check().ifPresent(scheduler::onEarlierOwnersEnded);
+        } else if (ticks % REMOVAL_INTERVAL_TICKS == 0) {
+            earlierOwners.recordRecovery();
+        }
         if (!recovered && !scheduler.isRecovering(clock.nowMs())) {
             recovered = true;
             storedRunTimes.start();
--- a/library/src/main/java/io/radishspindle/pool/runtime/Records.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/Records.java
@@ -34,6 +34,15 @@
     /** The VM that owns a pool; {@code boot} identifies the incarnation that claimed it. */
     record Owner(String vmId, String boot) {}
 
+    /**
+     * Record of a claim, which outlasts it.
+     *
+     * @param replaced revision of the claim that it replaced; 0 if there was none
+     * @param recoveredToken fencing token of the claim once its owner has completed its recovery; 0 until then, as the
+     *     revision of the item is the token
+     */
+    record Claim(String vmId, long replaced, long recoveredToken) {}
+
     /**
      * Replaces the item of a job that has ended, so that a new owner has little to read for it. Encoded as an array, so
      * that new fields may be added at the end only.
--- a/library/src/main/java/io/radishspindle/pool/runtime/StoreKeys.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/StoreKeys.java
@@ -118,6 +118,15 @@
         return ROOT + "run-times/" + pool;
     }
 
+    /** Prefix of the records of the claims on a pool, of which its owner removes those of earlier owners. */
+    static String claims(String pool) {
+        return ROOT + "claims/" + pool + "/";
+    }
+
+    static String claim(String pool, String vmId, String boot) {
+        return claims(pool) + vmId + "~" + boot;
+    }
+
     /** Prefix of the workers that have answered an owner of a pool, written by its owner only. */
     static String workers(String pool) {
         return ROOT + "workers/" + pool + "/";
--- a/library/src/main/java/io/radishspindle/protocol/message/PoolMessages.java
+++ b/library/src/main/java/io/radishspindle/protocol/message/PoolMessages.java
@@ -53,9 +53,11 @@
     /**
      * Reply to a {@link PoolPing}.
      *
-     * @param owner whether the sender owns the pool
+     * @param owner whether the sender owns the pool or has a claim on it in flight
+     * @param notOwnerForMs milliseconds since it last owned the pool, or since its process was started; 0 from an earlier
+     *     release
      */
-    public record PoolPong(boolean owner) implements PeerMessage {}
+    public record PoolPong(boolean owner, long notOwnerForMs) implements PeerMessage {}
 
     /** Requests a call of the advice service on behalf of the sender; the reply is {@link AdviceReply}. */
     public record RequestAdvice(String step, List<String> workers, long expectedMs) implements PeerMessage {}
--- a/library/src/test/java/io/radishspindle/pool/core/LastingTaskBesideRoomTest.java
+++ b/library/src/test/java/io/radishspindle/pool/core/LastingTaskBesideRoomTest.java
@@ -17,6 +17,8 @@
 class LastingTaskBesideRoomTest {
     private static final AdvicePolicy ADVICE = new AdvicePolicy(560, 8, 1_500);
     private static final int WORKERS = 8;
+    /** From the end of an owner until the process of its VM has been started again. */
+    private static final long OWNER_RESTART_MS = 1_000;
     /** Longest time for which a task may wait beside room. */
     private static final long LIMIT_MS = 3_000;
 
@@ -73,6 +75,30 @@
         assertThat(mix.pool.history.violations).isEmpty();
     }
 
+    /**
+     * A recorded worker that is dead at a change of owner kept all loaded tasks waiting for up to 8.9 s, also if the VM of
+     * the former owner runs again and so shows that this owner has ended.
+     */
+    @ParameterizedTest
+    @MethodSource("seedsWithTakeovers")
+    void should_start_lasting_tasks_beside_room_within_3_s_also_in_the_recovery_from_an_owner_that_restarts(long seed) {
+        // given
+        LastingMix mix = new LastingMix(seed, false);
+        mix.pool.ownerReturnsAfterMs = OWNER_RESTART_MS;
+
+        // when
+        mix.run(3);
+
+        // then
+        assertThat(mix.waits).isEmpty();
+        assertThat(mix.pool.history.violations).isEmpty();
+    }
+
+    /** By default, seeds with takeovers late in a phase with faults, while a worker is silent. */
+    static LongStream seedsWithTakeovers() {
+        return System.getProperty("pool.seeds") == null ? LongStream.of(17, 26, 30) : seeds();
+    }
+
     /** A recorded worker that is dead at a change of owner keeps all loaded tasks waiting for up to 8.9 s. */
     @Tag("known-red")
     @ParameterizedTest
--- a/library/src/test/java/io/radishspindle/pool/core/PoolInvariantsTest.java
+++ b/library/src/test/java/io/radishspindle/pool/core/PoolInvariantsTest.java
@@ -58,6 +58,19 @@
                 .isGreaterThan(500);
     }
 
+    /** Guards against a wait for the leases of an owner that is known to have ended which is too short. */
+    @ParameterizedTest
+    @MethodSource("seedsAndRunTimes")
+    void should_run_each_task_once_at_a_time_if_the_end_of_each_owner_is_known(long seed, boolean learned) {
+        // given
+        PoolSimulation pool = simulation(seed, learned);
+        pool.ownerReturnsAfterMs = 0;
+
+        // then
+        assertThat(run(pool, List.of(), PoolInvariantsTest::injectFault, END_MS))
+                .isGreaterThan(500);
+    }
+
     /** Guards against an owner that counts only the workers that are registered when it takes over. */
     @ParameterizedTest
     @MethodSource("seedsAndRunTimes")
--- a/library/src/test/java/io/radishspindle/pool/core/PoolSimulation.java
+++ b/library/src/test/java/io/radishspindle/pool/core/PoolSimulation.java
@@ -128,6 +128,9 @@
     /** Whether a worker that has crashed comes back under its id, with its registration. */
     boolean returnsUnderItsId;
 
+    /** Time from the end of an owner until its VM runs again and denies the ownership; negative if it stays away. */
+    long ownerReturnsAfterMs = -1;
+
     private long nextWriteMs;
     /** Number of progress writes in flight. */
     private int writesInFlight;
@@ -287,6 +290,9 @@
         scheduler.beginRecovery(nowMs);
         PoolScheduler owner = scheduler;
         long token = fencingToken;
+        if (ownerReturnsAfterMs >= 0) {
+            after(ownerReturnsAfterMs, () -> owner.onEarlierOwnersEnded(nowMs));
+        }
         for (SimWorker worker : workers.values()) {
             // Another VM may know an older version of an entry.
             WorkerEntry entry = knownEntries.getOrDefault(worker.entry.id(), worker.entry);
--- a/library/src/test/java/io/radishspindle/pool/core/TwoOwnersSimulation.java
+++ b/library/src/test/java/io/radishspindle/pool/core/TwoOwnersSimulation.java
@@ -270,6 +270,10 @@
             new PriorityQueue<>(Comparator.comparingLong(Event::atMs).thenComparingLong(Event::order));
     private final LongSupplier latency;
     private long eventCount;
+    /** Whether the newest owner learns of the end of the others; for two owners. */
+    boolean endsAreKnown;
+
+    private boolean reportedEnds;
     long nowMs = 1_000;
 
     /** @param latency one-way latency of each message in milliseconds */
@@ -329,6 +333,18 @@
                 events.poll().action().run();
             }
             owners.forEach(Owner::step);
+            reportEnds();
+        }
+    }
+
+    /** Tells the newest owner in the millisecond in which the last of the others ends. */
+    private void reportEnds() {
+        if (endsAreKnown && owners.size() > 1 && !reportedEnds) {
+            Owner newest = owners.get(owners.size() - 1);
+            reportedEnds = owners.stream().allMatch(owner -> owner == newest || owner.closed);
+            if (reportedEnds) {
+                newest.scheduler.onEarlierOwnersEnded(nowMs);
+            }
         }
     }
 
--- a/library/src/test/java/io/radishspindle/pool/core/TwoOwnersTest.java
+++ b/library/src/test/java/io/radishspindle/pool/core/TwoOwnersTest.java
@@ -30,6 +30,7 @@
 
     private TwoOwnersSimulation sim = new TwoOwnersSimulation(3, () -> 1);
     private Owner older;
+    private boolean endsAreKnown;
 
     /** The older owner has waiting holds at all workers, which answer within the next 50 ms. */
     @BeforeEach
@@ -184,10 +185,44 @@
         assertThat(play(seed, 0, 2)).isEmpty();
     }
 
+    /** Guards against a wait for the leases of the older owner, whose end is known, which is too short. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void should_not_start_loaded_jobs_twice_if_the_end_of_the_older_owner_is_known(long seed) {
+        endsAreKnown = true;
+
+        assertThat(play(seed, 0, 0)).isEmpty();
+    }
+
+    /** The end of an owner that is paused shows only once it runs again, so that its leases may have been renewed. */
+    @ParameterizedTest
+    @ValueSource(longs = {0, 700, 1_400, 3_000})
+    void should_wait_for_the_leases_of_an_older_owner_that_has_ended(long closesAfterMs) {
+        // given
+        older.tell(job(WHOLE_WORKER / 3, 30_000));
+        run(2_000);
+        older.cut(FOR_GOOD_MS, "w1", "w2");
+        sim.endsAreKnown = true;
+        Owner newer = sim.claim();
+        newer.cut(FOR_GOOD_MS, "w0");
+        sim.load(newer);
+
+        // when
+        sim.after(closesAfterMs, () -> older.closed = true);
+        long claimedMs = sim.nowMs;
+        run(closesAfterMs + 5_800);
+
+        // then
+        assertThat(newer.started).isNotEmpty();
+        assertThat(newer.lastStartMs).isLessThan(claimedMs + closesAfterMs + 5_800);
+        assertThat(sim.history.violations).isEmpty();
+    }
+
     /** Plays a takeover with cuts and a pause; jobs are stored until {@code lastJobMs} after the claim. */
     private List<String> play(long seed, long lastJobMs, int restarts) {
         UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
         sim = new TwoOwnersSimulation(5, () -> random.nextLong(6));
+        sim.endsAreKnown = endsAreKnown;
         older = sim.claim();
         sim.load(older);
         run(500);
--- a/library/src/test/java/io/radishspindle/pool/runtime/OwnerElectionTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/OwnerElectionTest.java
@@ -74,6 +74,41 @@
         assertThat(election.ownsOrClaims(POOL)).isTrue();
     }
 
+    /** The next owner asks the VMs of all claims since the last recovery. */
+    @Test
+    void should_leave_a_record_of_its_claim_that_names_the_replaced_one() {
+        // given
+        setOwner("b");
+
+        // when
+        tickFor(1_400);
+
+        // then
+        Item record = store.items.get(StoreKeys.claim(POOL, "a", "1"));
+        assertThat(record.revision()).isEqualTo(claims.get(0));
+        assertThat(Records.decode(record.key(), record.value(), Records.Claim.class)
+                        .get())
+                .isEqualTo(new Records.Claim("a", 5, 0));
+    }
+
+    @Test
+    void should_tell_for_how_long_it_has_not_owned_a_pool() {
+        // given
+        clock.nowMs += 300;
+        long beforeClaimMs = election.notOwnerForMs(POOL);
+        tickFor(500);
+        long asOwnerMs = election.notOwnerForMs(POOL);
+
+        // when
+        election.onReleased(POOL);
+        clock.nowMs += 200;
+
+        // then
+        assertThat(beforeClaimMs).isEqualTo(300);
+        assertThat(asOwnerMs).isZero();
+        assertThat(election.notOwnerForMs(POOL)).isEqualTo(200);
+    }
+
     @Test
     void should_wait_for_a_stronger_vm_before_it_claims() {
         // given
@@ -107,7 +142,7 @@
     void should_supersede_an_owner_that_has_released_the_pool() {
         // given
         setOwner("b");
-        messenger.peers.put("b", message -> Future.succeededFuture(Either.right(new PoolPong(false))));
+        messenger.peers.put("b", message -> Future.succeededFuture(Either.right(new PoolPong(false, 0))));
 
         // when
         tickFor(700);
@@ -149,7 +184,7 @@
     void should_keep_an_owner_that_answers() {
         // given
         setOwner("b");
-        messenger.peers.put("b", message -> Future.succeededFuture(Either.right(new PoolPong(true))));
+        messenger.peers.put("b", message -> Future.succeededFuture(Either.right(new PoolPong(true, 0))));
 
         // when
         tickFor(5_000);
--- a/library/src/test/java/io/radishspindle/pool/runtime/PoolOwnerFixture.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/PoolOwnerFixture.java
@@ -126,6 +126,7 @@
                 new MetricRegistry(),
                 POOL,
                 token,
+                new EarlierOwners(clock, store, new FakeMessenger(), self, POOL, token, 0),
                 new DeclaredRunTimes(),
                 10_000,
                 (pool, reason) -> {});
--- a/library/src/test/java/io/radishspindle/pool/runtime/PortionedLoadTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/PortionedLoadTest.java
@@ -127,6 +127,7 @@
                 new MetricRegistry(),
                 POOL,
                 2,
+                new EarlierOwners(clock, store, new FakeMessenger(), self, POOL, 2, 0),
                 new DeclaredRunTimes(),
                 10_000,
                 (pool, reason) -> {}));
@@ -194,7 +195,7 @@
         TcpPeerMessenger target = messenger("target", 0);
         target.handle(PoolPing.class, (vm, ping) -> {
             loadedAtPing.add(phase(0).isPresent());
-            return Future.succeededFuture(Either.right(new PoolPong(true)));
+            return Future.succeededFuture(Either.right(new PoolPong(true, 0)));
         });
         TcpPeerMessenger peer = messenger("peer", target.port());
         peer.request("target", new PoolPing(POOL), PoolPong.class, TIMEOUT_MS).await();
--- a/library/src/test/java/io/radishspindle/pool/runtime/SlowOwnerTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/SlowOwnerTest.java
@@ -71,7 +71,7 @@
         arrivals.add(new Arrival(
                 clock.nowMs + (inTime ? answerDelayMs : timeoutMs),
                 inTime
-                        ? Either.right(new PoolPong(true))
+                        ? Either.right(new PoolPong(true, 0))
                         : Either.left(Failure.outcomeUnknown("peer.request", "peer", "timeout")),
                 promise));
         return promise.future();
