Advice for loaded tasks is requested before the recovery ends

A loaded task whose recovery ended by the expiry of leases waited for a call for advice on top, 0.6 to 0.8 s, as only steps that may start got calls. They are requested now if the recovery ends within the horizon of the forecast (1.5 s), after the steps that may start. Calls start nothing.

LastingTaskBesideRoomTest, should_have_tickets_for_tasks_of_loaded_jobs_ when_the_recovery_ends, fails without the call and passes with it.

--- a/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
@@ -405,6 +405,9 @@
                     dirty);
             List<StepState> ready = readySteps(nowMs, wallMs);
             pass.run(Ranking.rank(ready, order.behind(ready, workers.values()), wallMs));
+            if (recovery.endsBy(nowMs + PoolTiming.FORECAST_HORIZON_MS, nowMs)) {
+                pass.prepare(Ranking.rank(stepsInRecovery(wallMs), Set.of(), wallMs));
+            }
             order.onPass(pass.foundNoRoom());
             delayed.check(unfinished.values(), pass::placer, true, nowMs, wallMs);
         } else {
@@ -451,6 +454,15 @@
         return ready;
     }
 
+    /** Steps of loaded jobs that will be ready once the recovery is complete. */
+    private List<StepState> stepsInRecovery(long wallMs) {
+        return unfinished.values().stream()
+                .filter(job -> job.inherited)
+                .flatMap(job -> job.steps.stream())
+                .filter(step -> !step.isDone() && step.job.isRunnable(step, wallMs) && step.waitingTasks() > 0)
+                .toList();
+    }
+
     /** Returns whether tasks of loaded jobs still wait for the workers' reports; see {@link #beginRecovery}. */
     public boolean isRecovering(long nowMs) {
         return recovery.isActive(nowMs);
--- a/library/src/main/java/io/radishspindle/pool/core/Recovery.java
+++ b/library/src/main/java/io/radishspindle/pool/core/Recovery.java
@@ -96,6 +96,11 @@
         return nowMs < Math.min(endsMs, earlierLeasesEndMs);
     }
 
+    /** Returns whether the recovery is active and ends within a time at the latest, as all leases have expired then. */
+    boolean endsBy(long untilMs, long nowMs) {
+        return isActive(nowMs) && Math.min(endsMs, earlierLeasesEndMs) <= untilMs;
+    }
+
     /** Returns whether workers that have not reported yet may run the missing members of inherited gangs. */
     boolean mayLackGangMembers(long nowMs) {
         return nowMs < gangsReportedByMs && isActive(nowMs);
--- a/library/src/main/java/io/radishspindle/pool/core/SchedulingPass.java
+++ b/library/src/main/java/io/radishspindle/pool/core/SchedulingPass.java
@@ -90,6 +90,18 @@
         }
     }
 
+    /**
+     * Requests advice for steps that can't start yet but may soon, in rank order; called after {@link #run}, so that
+     * steps that may start come first.
+     */
+    void prepare(List<StepState> ranked) {
+        for (StepState step : ranked) {
+            if (limits.allow(step)) {
+                requestAdvice(step, (int) step.waitingTasks());
+            }
+        }
+    }
+
     /** The placement of this pass, with what it has started and what it holds. */
     Placer placer() {
         return placer;
--- a/library/src/test/java/io/radishspindle/pool/core/LastingTaskBesideRoomTest.java
+++ b/library/src/test/java/io/radishspindle/pool/core/LastingTaskBesideRoomTest.java
@@ -17,8 +17,12 @@
 class LastingTaskBesideRoomTest {
     private static final AdvicePolicy ADVICE = new AdvicePolicy(560, 8, 1_500);
     private static final int WORKERS = 8;
+    /** Tasks of a step with one on each worker, fewer than the workers. */
+    private static final int TASKS = 4;
     /** From the end of an owner until the process of its VM has been started again. */
     private static final long OWNER_RESTART_MS = 1_000;
+    /** From the end of an owner until the leases that it granted have expired. */
+    private static final long LEASES_END_MS = 5_730;
     /** Longest time for which a task may wait beside room. */
     private static final long LIMIT_MS = 3_000;
 
@@ -55,6 +59,37 @@
         assertThat(pool.history.violations).isEmpty();
     }
 
+    /** Calls for advice, which take 0.8 s, began only once the recovery was over. */
+    @Test
+    void should_have_tickets_for_tasks_of_loaded_jobs_when_the_recovery_ends() {
+        // given
+        PoolSimulation pool = new PoolSimulation(1);
+        pool.advice.validityMs = ADVICE.validMs();
+        pool.ownerReturnsAfterMs = OWNER_RESTART_MS;
+        for (int i = 0; i < WORKERS; i++) {
+            pool.addWorker("w" + i, new Resources(64_000, 256_000, 0), "first");
+        }
+        pool.runUntil(1_500);
+        pool.submit(SimJobs.advised("waits", 1, pool.nowMs, ADVICE, lasting(TASKS, 1_000, 1_000, "")));
+        pool.runUntil(4_000);
+        SimWorker silent = pool.workers.values().stream()
+                .filter(worker -> !worker.running.isEmpty())
+                .findFirst()
+                .orElseThrow();
+
+        // when
+        silent.unreachable = true;
+        pool.changeOwner();
+        pool.runUntil(pool.nowMs + OWNER_RESTART_MS + LEASES_END_MS + 100);
+
+        // then
+        assertThat(pool.scheduler.isRecovering(pool.nowMs)).isFalse();
+        for (int i = 0; i < TASKS; i++) {
+            assertThat(pool.history.isRunning(new TaskName("waits", 0, 0, i))).isTrue();
+        }
+        assertThat(pool.history.violations).isEmpty();
+    }
+
     /** Seeds of the mix; {@code -Dpool.seeds=first-last} selects another range. */
     static LongStream seeds() {
         String[] range = System.getProperty("pool.seeds", "1-6").split("-");
