--- a/library/src/main/java/io/radishspindle/pool/runtime/AdviceDispatcher.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/AdviceDispatcher.java
@@ -225,8 +225,8 @@
     }
 
     /**
-     * Moves VMs that don't answer to the end, the last one that failed last. A call fails later than the back-off of the
-     * one before ends, so that calls would go to the same two VMs in turn.
+     * Moves VMs that don't answer to the end, the last one that failed last. A call fails later than the back-off of
+     * the one before ends, so that calls would go to the same two VMs in turn.
      */
     private List<String> failedLast(List<String> vms) {
         List<String> sorted = new ArrayList<>(vms);
--- a/library/src/main/java/io/radishspindle/pool/runtime/EarlierOwners.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/EarlierOwners.java
@@ -25,8 +25,8 @@
 import org.tinylog.Logger;
 
 /**
- * Finds out when the earlier owners of a pool ended, whose leases may be in force at silent workers. Each claim leaves a
- * record, and the VMs of these records are asked. Confined to one event loop.
+ * Finds out when the earlier owners of a pool ended, whose leases may be in force at silent workers. Each claim leaves
+ * a record, and the VMs of these records are asked. Confined to one event loop.
  *
  * <p>Invariants:
  *
--- a/library/src/main/java/io/radishspindle/protocol/message/PoolMessages.java
+++ b/library/src/main/java/io/radishspindle/protocol/message/PoolMessages.java
@@ -54,8 +54,8 @@
      * Reply to a {@link PoolPing}.
      *
      * @param owner whether the sender owns the pool or has a claim on it in flight
-     * @param notOwnerForMs milliseconds since it last owned the pool, or since its process was started; 0 from an earlier
-     *     release
+     * @param notOwnerForMs milliseconds since it last owned the pool or since its process was started; 0 from an
+     *     earlier release
      */
     public record PoolPong(boolean owner, long notOwnerForMs) implements PeerMessage {}
 
--- a/library/src/test/java/io/radishspindle/pool/core/LastingTaskBesideRoomTest.java
+++ b/library/src/test/java/io/radishspindle/pool/core/LastingTaskBesideRoomTest.java
@@ -111,8 +111,8 @@
     }
 
     /**
-     * A recorded worker that is dead at a change of owner kept all loaded tasks waiting for up to 8.9 s, also if the VM of
-     * the former owner runs again and so shows that this owner has ended.
+     * A recorded worker that is dead at a change of owner kept all loaded tasks waiting for up to 8.9 s, also if the VM
+     * of the former owner runs again and so shows that this owner has ended.
      */
     @ParameterizedTest
     @MethodSource("seedsWithTakeovers")
--- a/library/src/test/java/io/radishspindle/pool/core/PoolSimulation.java
+++ b/library/src/test/java/io/radishspindle/pool/core/PoolSimulation.java
@@ -10,7 +10,6 @@
 import io.radishspindle.pool.model.TaskName;
 import io.radishspindle.pool.model.WorkerEntry;
 import io.radishspindle.pool.port.WorkerControl.Answer;
-import io.radishspindle.pool.port.WorkerControl.HoldOrder;
 import io.radishspindle.pool.port.WorkerControl.StartOrder;
 import io.radishspindle.pool.prediction.DeclaredRunTimes;
 import io.radishspindle.pool.prediction.RunTimePredictor;
@@ -128,8 +127,8 @@
     /** Whether a worker that has crashed comes back under its id, with its registration. */
     boolean returnsUnderItsId;
 
-    /** Time from the end of an owner until its VM runs again and denies the ownership; negative if it stays away. */
-    long ownerReturnsAfterMs = -1;
+    /** Time from the end of an owner until its VM runs again and denies the ownership. */
+    long ownerReturnsAfterMs = Integer.MAX_VALUE;
 
     private long nextWriteMs;
     /** Number of progress writes in flight. */
@@ -290,9 +289,7 @@
         scheduler.beginRecovery(nowMs);
         PoolScheduler owner = scheduler;
         long token = fencingToken;
-        if (ownerReturnsAfterMs >= 0) {
-            after(ownerReturnsAfterMs, () -> owner.onEarlierOwnersEnded(nowMs));
-        }
+        after(ownerReturnsAfterMs, () -> owner.onEarlierOwnersEnded(nowMs));
         for (SimWorker worker : workers.values()) {
             // Another VM may know an older version of an entry.
             WorkerEntry entry = knownEntries.getOrDefault(worker.entry.id(), worker.entry);
@@ -462,10 +459,9 @@
             return;
         }
         SentHold hold = owner.holdOrder(id, nowMs, ownToken);
-        HoldOrder order = hold.order();
         long sentAtMs = nowMs;
         long bootWallMs = worker.bootWallMs;
-        long waitMs = worker.hasEnds() ? 0 : Math.min(order.waitMs(), 200);
+        long waitMs = worker.hasEnds() ? 0 : Math.min(hold.order().waitMs(), 200);
         worker.onCrash = () -> after(breakMs(worker), () -> onHoldBroken(worker, owner, ownToken, sentAtMs));
         after(latency() + waitMs, () -> {
             if (worker.isDown) {
@@ -476,7 +472,7 @@
                 after(PoolTiming.HOLD_RETRY_MS, () -> poll(id, owner, ownToken));
                 return;
             }
-            Answer answer = worker.hold(order, nowMs);
+            Answer answer = worker.hold(hold.order(), nowMs);
             if (answer == Answer.ACCEPTED) {
                 var report = worker.report(nowMs);
                 after(latency(), () -> {
@@ -500,12 +496,11 @@
         if (owner != scheduler) {
             return;
         }
-        String id = worker.entry.id();
-        owner.onHoldFailed(id, sentAtMs, nowMs, !crashesSilently);
+        owner.onHoldFailed(worker.entry.id(), sentAtMs, nowMs, !crashesSilently);
         if (worker.isReplaced) {
             owner.onWorkerReplaced(worker.entry, nowMs, nowMs);
         }
-        after(PoolTiming.HOLD_RETRY_MS, () -> poll(id, owner, ownToken));
+        after(PoolTiming.HOLD_RETRY_MS, () -> poll(worker.entry.id(), owner, ownToken));
     }
 
     private void perform(PoolAction action) {
--- a/library/src/test/java/io/radishspindle/pool/runtime/EarlierOwnersTest.java
+++ b/library/src/test/java/io/radishspindle/pool/runtime/EarlierOwnersTest.java
@@ -14,8 +14,8 @@
 import org.junit.jupiter.params.provider.MethodSource;
 
 /**
- * Guards against loaded tasks that wait for leases of owners that have ended, and against taking an owner for ended that
- * may still renew leases.
+ * Guards against loaded tasks that wait for leases of owners that have ended, and against taking an owner for ended
+ * that may still renew leases.
  */
 class EarlierOwnersTest {
     private static final String POOL = "desk";
