--- a/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
+++ b/library/src/main/java/io/radishspindle/pool/core/PoolScheduler.java
@@ -133,6 +133,11 @@
         attribution.onInherited(unfinished.values(), nowMs);
     }
 
+    /** All earlier owners of the pool had ended at a time; called at most once, before or after the recovery begins. */
+    public void onEarlierOwnersEnded(long endedMs) {
+        recovery.onEarlierOwnersEnded(endedMs);
+    }
+
     /** Adds a new job that no other owner knows; returns false if it is already known. */
     public boolean submit(PoolJob job) {
         if (isKnown(job.id())) {
@@ -430,6 +435,9 @@
                     dirty);
             List<StepState> ready = readySteps(nowMs, wallMs);
             pass.run(Ranking.rank(ready, order.behind(ready, workers.values()), wallMs));
+            if (recovery.endsBy(nowMs + PoolTiming.FORECAST_HORIZON_MS, nowMs)) {
+                pass.prepare(Ranking.rank(stepsInRecovery(wallMs), Set.of(), wallMs));
+            }
             order.onPass(pass.foundNoRoom());
             delayed.check(unfinished.values(), pass::placer, true, nowMs, wallMs);
         } else {
@@ -476,6 +484,15 @@
         return ready;
     }
 
+    /** Steps of loaded jobs that will be ready once the recovery is complete. */
+    private List<StepState> stepsInRecovery(long wallMs) {
+        return unfinished.values().stream()
+                .filter(job -> job.inherited)
+                .flatMap(job -> job.steps.stream())
+                .filter(step -> !step.isDone() && step.job.isRunnable(step, wallMs) && step.waitingTasks() > 0)
+                .toList();
+    }
+
     /** Returns whether tasks of loaded jobs still wait for the workers' reports; see {@link #beginRecovery}. */
     public boolean isRecovering(long nowMs) {
         return recovery.isActive(nowMs);
--- a/library/src/main/java/io/radishspindle/pool/runtime/PoolNode.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/PoolNode.java
@@ -294,6 +294,8 @@
     }
 
     private void onClaimed(String pool, long fencingToken) {
+        // An owner that is replaced by a new claim of this VM has acted until now.
+        long ownEndMs = owned.containsKey(pool) ? clock.nowMs() : election.lastOwnedMs(pool);
         PoolOwner owner = new PoolOwner(
                 vertx,
                 clock,
@@ -304,6 +306,7 @@
                 metrics,
                 pool,
                 fencingToken,
+                new EarlierOwners(clock, store, messenger, self, pool, fencingToken, ownEndMs),
                 runTimes.newPredictor(),
                 maxLeaseMs,
                 this::onSuperseded);
@@ -351,7 +354,10 @@
             ownerOf(message.pool()).ifPresent(owner -> owner.onCancelStored(message.jobId()));
             return done();
         });
-        messenger.handle(PoolPing.class, (vm, message) -> answer(new PoolPong(election.ownsOrClaims(message.pool()))));
+        messenger.handle(
+                PoolPing.class,
+                (vm, message) -> answer(
+                        new PoolPong(election.ownsOrClaims(message.pool()), election.notOwnerForMs(message.pool()))));
         messenger.handle(
                 QueryPoolJob.class,
                 (vm, message) -> answer(ownerOf(message.pool())
--- a/library/src/test/java/io/radishspindle/pool/core/PoolSimulation.java
+++ b/library/src/test/java/io/radishspindle/pool/core/PoolSimulation.java
@@ -10,7 +10,6 @@
 import io.radishspindle.pool.model.TaskName;
 import io.radishspindle.pool.model.WorkerEntry;
 import io.radishspindle.pool.port.WorkerControl.Answer;
-import io.radishspindle.pool.port.WorkerControl.HoldOrder;
 import io.radishspindle.pool.port.WorkerControl.StartOrder;
 import io.radishspindle.pool.prediction.DeclaredRunTimes;
 import io.radishspindle.pool.prediction.RunTimePredictor;
@@ -133,6 +132,9 @@
     private final SimOrders orders = new SimOrders(this);
     private final CongestedHolds congestedHolds = new CongestedHolds(this);
 
+    /** Time from the end of an owner until its VM runs again and denies the ownership. */
+    long ownerReturnsAfterMs = Integer.MAX_VALUE;
+
     private long nextWriteMs;
     /** Number of progress writes in flight. */
     private int writesInFlight;
@@ -292,6 +294,7 @@
         scheduler.beginRecovery(nowMs);
         PoolScheduler owner = scheduler;
         long token = fencingToken;
+        after(ownerReturnsAfterMs, () -> owner.onEarlierOwnersEnded(nowMs));
         for (SimWorker worker : workers.values()) {
             // Another VM may know an older version of an entry.
             WorkerEntry entry = knownEntries.getOrDefault(worker.entry.id(), worker.entry);
@@ -461,14 +464,13 @@
             return;
         }
         SentHold hold = owner.holdOrder(id, nowMs, ownToken);
-        HoldOrder order = hold.order();
         long sentAtMs = nowMs;
         if (worker.congestionMs > 0) {
             congestedHolds.send(worker, hold, owner, delayMs -> after(delayMs, () -> poll(id, owner, ownToken)));
             return;
         }
         long bootWallMs = worker.bootWallMs;
-        long waitMs = worker.hasEnds() ? 0 : Math.min(order.waitMs(), 200);
+        long waitMs = worker.hasEnds() ? 0 : Math.min(hold.order().waitMs(), 200);
         worker.onCrash = () -> after(breakMs(worker), () -> onHoldBroken(worker, owner, ownToken, sentAtMs));
         after(latency() + waitMs, () -> {
             if (worker.isDown) {
@@ -479,7 +481,7 @@
                 after(PoolTiming.HOLD_RETRY_MS, () -> poll(id, owner, ownToken));
                 return;
             }
-            Answer answer = worker.hold(order, nowMs);
+            Answer answer = worker.hold(hold.order(), nowMs);
             if (answer == Answer.ACCEPTED) {
                 var report = worker.report(nowMs);
                 after(latency(), () -> {
@@ -503,12 +505,11 @@
         if (owner != scheduler) {
             return;
         }
-        String id = worker.entry.id();
-        owner.onHoldFailed(id, sentAtMs, nowMs, !crashesSilently);
+        owner.onHoldFailed(worker.entry.id(), sentAtMs, nowMs, !crashesSilently);
         if (worker.isReplaced) {
             owner.onWorkerReplaced(worker.entry, nowMs, nowMs);
         }
-        after(PoolTiming.HOLD_RETRY_MS, () -> poll(id, owner, ownToken));
+        after(PoolTiming.HOLD_RETRY_MS, () -> poll(worker.entry.id(), owner, ownToken));
     }
 
     private void perform(PoolAction action) {
