--- a/library/src/main/java/io/radishspindle/pool/runtime/OwnerElection.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/OwnerElection.java
@@ -97,8 +97,8 @@
     }
 
     /**
-     * Time at which all earlier owners of the pool on this VM had ended: the last release by this process, or its start,
-     * at which earlier processes of the VM had ended.
+     * Time at which all earlier owners of the pool on this VM had ended: the last release by this process, or its
+     * start, at which earlier processes of the VM had ended.
      */
     long lastOwnedMs(String pool) {
         return releasedMs.getOrDefault(pool, startedMs);
