Write the claim on a pool after its record

A claim leaves a record in the same transaction since "Loaded tasks wait for the end of the former owner's leases". The fencing token is the revision of the transaction, and the condition of all later writes of the owner is that the claim has this revision. The platform's pages don't say whether the items of one transaction share a revision. Where they don't, as in our stand-in of the store, the claim had a lower one: the release of a pool found it superseded, and the pool waited for the lease.

The claim comes last, so that its revision is that of the transaction either way. Where the record has another one, the chain of records doesn't end with the own token, and the owner waits as long as before.

It passes now, with EndToEndJobTest, OwnerElectionTest, EarlierOwnersTest, ProcessSoakTest, ForeignEntriesTest and MovedQueueTest.

--- a/library/src/main/java/io/radishspindle/pool/runtime/OwnerElection.java
+++ b/library/src/main/java/io/radishspindle/pool/runtime/OwnerElection.java
@@ -217,14 +217,15 @@
         claiming.add(pool);
         String key = StoreKeys.owner(pool);
         Records.Owner owner = new Records.Owner(self.vmId(), self.boot());
-        // Both items get the same revision, and the record stays when the claim ends with the lease of this VM.
+        // The record stays when the claim ends with the lease of this VM. The claim comes last, as the revision of the
+        // transaction, which is the fencing token, has to be its own also if each item gets a revision.
         Write record = new Write(
                 StoreKeys.claim(pool, self.vmId(), self.boot()),
                 Records.encode(new Records.Claim(self.vmId(), expectedRevision, 0)),
                 0);
         Txn txn = new Txn(
                 Map.of(key, expectedRevision),
-                List.of(new Write(key, Records.encode(owner), lease.id()), record),
+                List.of(record, new Write(key, Records.encode(owner), lease.id())),
                 List.of());
         store.transact(txn).onSuccess(result -> onClaimResult(pool, reason, result));
     }
