--- a/library/src/test/java/io/radishspindle/pool/core/LateFirstAnswerTest.java
+++ b/library/src/test/java/io/radishspindle/pool/core/LateFirstAnswerTest.java
@@ -77,7 +77,7 @@
         assertThat(leaseEndMs).isLessThanOrEqualTo(clockMs + 2_100 + PoolTiming.LEASE_MS);
     }
 
-    /** Both are silent after the last of several late answers; max_hold_ms is 10 s. */
+    /** Both are silent after the last of several late answers; the longest lease of a worker is 10 s. */
     @Test
     void should_not_give_up_runs_before_the_lease_that_the_worker_has_taken() {
         // given
